Add the build, the error table and the public interfaces

The modules of the design proposal need shared types before they can grow side by side: the closed list of error kinds with its table, the catalogue's records, the store's and the host list's interfaces, the decisions on traffic and on claims, and the checked settings.

Hibernate Validator checks settings and catalogue entries, so that the bounds stand on the record components; a home-made checker was weighed and left out.

--- /dev/null
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Helpers for tests.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.junit;
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/errors/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of the error table.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.errors;
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/catalogue/CatalogueRecord.java
@@ -0,0 +1,21 @@
+package org.cyclamenstall.catalogue;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds one entry, or its tombstone, with the catalogue revision that wrote it.
+ * Immutable.
+ *
+ * @param name the name of the entry
+ * @param revision the catalogue revision of the write; unique in the catalogue
+ * @param editId the identifier of the edit that wrote it
+ * @param operator who made the edit
+ * @param writtenAtMillis the time of the edit, in milliseconds since the epoch
+ * @param entry the entry, or {@code null} if it was deleted
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record CatalogueRecord(String name, long revision, String editId, String operator, long writtenAtMillis,
+		@Nullable CatalogueEntry entry) {
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/RouterException.java
@@ -0,0 +1,40 @@
+package org.cyclamenstall.errors;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reports an error of one {@link ErrorKind}.
+ */
+public class RouterException extends RuntimeException {
+
+	private final ErrorKind kind;
+
+	/**
+	 * Creates an exception.
+	 * @param kind the kind of error
+	 * @param message the detail shown to the caller or the operator
+	 */
+	public RouterException(ErrorKind kind, String message) {
+		this(kind, message, null);
+	}
+
+	/**
+	 * Creates an exception with a cause.
+	 * @param kind the kind of error
+	 * @param message the detail shown to the caller or the operator
+	 * @param cause the cause, or {@code null} for none
+	 */
+	public RouterException(ErrorKind kind, String message, @Nullable Throwable cause) {
+		super(message, cause);
+		this.kind = kind;
+	}
+
+	/**
+	 * Returns the kind of error.
+	 * @return the kind
+	 */
+	public ErrorKind kind() {
+		return this.kind;
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/hosts/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The platform's list of live and leaving hosts.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.hosts;
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
@@ -0,0 +1,175 @@
+package org.cyclamenstall.internal.yaml;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.exc.InvalidFormatException;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import jakarta.validation.ConstraintViolation;
+import jakarta.validation.Validation;
+import jakarta.validation.Validator;
+import org.cyclamenstall.errors.ErrorKind;
+import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
+
+/**
+ * Reads YAML documents into records and checks them against the constraints of the
+ * record's components. A fault names the line, the field and what is allowed.
+ * Thread-safe.
+ */
+public final class CheckedYamlReader {
+
+	private final YAMLMapper mapper = YAMLMapper.builder()
+		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+		.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+		.disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+		.build();
+
+	private final Validator validator = Validation.byDefaultProvider()
+		.configure()
+		.messageInterpolator(new ParameterMessageInterpolator())
+		.buildValidatorFactory()
+		.getValidator();
+
+	private final ErrorKind kind;
+
+	/**
+	 * Creates a reader.
+	 * @param kind the kind of error to report faults with
+	 */
+	public CheckedYamlReader(ErrorKind kind) {
+		this.kind = kind;
+	}
+
+	/**
+	 * Reads a file.
+	 * @param <T> the type of document
+	 * @param file the file
+	 * @param type the type of document
+	 * @return the checked document
+	 * @throws InvalidYamlException if the file cannot be read or fails its checks
+	 */
+	public <T> T read(Path file, Class<T> type) {
+		try {
+			return read(Files.readString(file, StandardCharsets.UTF_8), file.toString(), type);
+		}
+		catch (IOException ex) {
+			throw new InvalidYamlException(this.kind, file.toString(),
+					List.of(new YamlProblem(1, "", "the file cannot be read: " + ex.getMessage())));
+		}
+	}
+
+	/**
+	 * Reads a text.
+	 * @param <T> the type of document
+	 * @param text the text
+	 * @param source the name of the document in messages
+	 * @param type the type of document
+	 * @return the checked document
+	 * @throws InvalidYamlException if the text fails its checks
+	 */
+	public <T> T read(String text, String source, Class<T> type) {
+		YamlLines lines = lines(text, source);
+		T document = parse(text, source, type);
+		List<YamlProblem> problems = this.validator.validate(document)
+			.stream()
+			.map((violation) -> problem(violation, lines))
+			.sorted(Comparator.comparingInt(YamlProblem::line).thenComparing(YamlProblem::field))
+			.distinct()
+			.toList();
+		if (!problems.isEmpty()) {
+			throw new InvalidYamlException(this.kind, source, problems);
+		}
+		return document;
+	}
+
+	private YamlLines lines(String text, String source) {
+		try (JsonParser parser = this.mapper.createParser(text)) {
+			return YamlLines.read(parser);
+		}
+		catch (JsonProcessingException ex) {
+			throw invalid(source, ex, "", ex.getOriginalMessage());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private <T> T parse(String text, String source, Class<T> type) {
+		try {
+			T document = this.mapper.readValue(text, type);
+			if (document == null) {
+				throw new InvalidYamlException(this.kind, source,
+						List.of(new YamlProblem(1, "", "the document is empty")));
+			}
+			return document;
+		}
+		catch (UnrecognizedPropertyException ex) {
+			String known = ex.getKnownPropertyIds()
+				.stream()
+				.map(Object::toString)
+				.sorted()
+				.collect(Collectors.joining(", "));
+			throw invalid(source, ex, path(ex), "unknown field; allowed here: " + known);
+		}
+		catch (InvalidFormatException ex) {
+			throw invalid(source, ex, path(ex),
+					"'" + ex.getValue() + "' is not allowed; " + allowed(ex.getTargetType()));
+		}
+		catch (MismatchedInputException ex) {
+			throw invalid(source, ex, path(ex), "wrong type; " + allowed(ex.getTargetType()));
+		}
+		catch (JsonMappingException ex) {
+			throw invalid(source, ex, path(ex), ex.getOriginalMessage());
+		}
+		catch (JsonProcessingException ex) {
+			throw invalid(source, ex, "", ex.getOriginalMessage());
+		}
+	}
+
+	private InvalidYamlException invalid(String source, JsonProcessingException cause, String field, String message) {
+		int line = (cause.getLocation() != null) ? Math.max(1, cause.getLocation().getLineNr()) : 1;
+		return new InvalidYamlException(this.kind, source, List.of(new YamlProblem(line, field, message)));
+	}
+
+	private static YamlProblem problem(ConstraintViolation<?> violation, YamlLines lines) {
+		String field = violation.getPropertyPath().toString().replaceAll("\\.<[^>]*>", "");
+		String found = (violation.getInvalidValue() != null) ? "; found '" + violation.getInvalidValue() + "'" : "";
+		return new YamlProblem(lines.lineOf(field), field, violation.getMessage() + found);
+	}
+
+	private static String allowed(Class<?> type) {
+		if (type != null && type.isEnum()) {
+			return "allowed: " + List.of(type.getEnumConstants()).toString().toLowerCase(Locale.ROOT);
+		}
+		return "expected " + ((type != null) ? type.getSimpleName().toLowerCase(Locale.ROOT) : "another type");
+	}
+
+	private static String path(JsonMappingException ex) {
+		StringBuilder path = new StringBuilder();
+		for (JsonMappingException.Reference reference : ex.getPath()) {
+			if (reference.getFieldName() != null) {
+				path.append((path.length() > 0) ? "." : "").append(reference.getFieldName());
+			}
+			else {
+				path.append('[').append(reference.getIndex()).append(']');
+			}
+		}
+		return path.toString();
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/InvalidYamlException.java
@@ -0,0 +1,39 @@
+package org.cyclamenstall.internal.yaml;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.RouterException;
+
+/**
+ * Reports a document that fails its checks, with every fault found.
+ */
+public class InvalidYamlException extends RouterException {
+
+	private final List<YamlProblem> problems;
+
+	/**
+	 * Creates an exception.
+	 * @param kind the kind of error
+	 * @param source the name of the document, such as its file
+	 * @param problems the faults, at least one
+	 */
+	public InvalidYamlException(ErrorKind kind, String source, List<YamlProblem> problems) {
+		super(kind,
+				problems.stream()
+					.map((problem) -> source + ":" + problem.line() + ": " + problem.field()
+							+ (problem.field().isEmpty() ? "" : ": ") + problem.message())
+					.collect(Collectors.joining("; ")));
+		this.problems = List.copyOf(problems);
+	}
+
+	/**
+	 * Returns the faults.
+	 * @return the faults in order of line
+	 */
+	public List<YamlProblem> problems() {
+		return this.problems;
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Decisions on requests: admission, scheduling, upstream choice, retries.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.policy;
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/settings/ClaimSettings.java
@@ -0,0 +1,38 @@
+package org.cyclamenstall.settings;
+
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+
+/**
+ * Holds the bounds on claims of named requests. Immutable.
+ *
+ * @param maximumAgeMillis the longest time between a claim and its sending, in
+ * milliseconds
+ * @param retentionSeconds how long a claim record is kept, in seconds
+ * @param maximumAnswerBytes the largest answer that is kept for a repeated request, in
+ * bytes
+ */
+public record ClaimSettings(@NotNull @Min(100) @Max(600_000) Integer maximumAgeMillis,
+		@NotNull @Min(60) @Max(2_592_000) Integer retentionSeconds,
+		@NotNull @Min(0) @Max(500_000) Integer maximumAnswerBytes) {
+
+	/** Holds the default of every component. */
+	public static final ClaimSettings DEFAULTS = new ClaimSettings(null, null, null);
+
+	private static final int DEFAULT_AGE_MILLIS = 5_000;
+
+	private static final int DEFAULT_RETENTION_SECONDS = 86_400;
+
+	private static final int DEFAULT_ANSWER_BYTES = 65_536;
+
+	/**
+	 * Fills in the defaults.
+	 */
+	public ClaimSettings {
+		maximumAgeMillis = (maximumAgeMillis != null) ? maximumAgeMillis : Integer.valueOf(DEFAULT_AGE_MILLIS);
+		retentionSeconds = (retentionSeconds != null) ? retentionSeconds : Integer.valueOf(DEFAULT_RETENTION_SECONDS);
+		maximumAnswerBytes = (maximumAnswerBytes != null) ? maximumAnswerBytes : Integer.valueOf(DEFAULT_ANSWER_BYTES);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/settings/DaemonSettings.java
@@ -0,0 +1,45 @@
+package org.cyclamenstall.settings;
+
+import jakarta.validation.Valid;
+import jakarta.validation.constraints.NotNull;
+import jakarta.validation.constraints.Pattern;
+
+/**
+ * Holds the checked settings of a daemon. Immutable.
+ *
+ * @param host the name of this host, unique in the deployment
+ * @param failureDomain the failure domain of this host
+ * @param region the region of this host
+ * @param callers the port for callers
+ * @param operators the port for operators
+ * @param peers the port for other daemons
+ * @param platform the platform's services
+ * @param policy the policies by name
+ * @param claims the bounds on claims
+ * @param shutdown the bounds on a graceful shutdown
+ * @param logs the form of the logs
+ */
+public record DaemonSettings(@NotNull @Pattern(regexp = DaemonSettings.NAME) String host,
+		@NotNull @Pattern(regexp = DaemonSettings.NAME) String failureDomain,
+		@NotNull @Pattern(regexp = DaemonSettings.NAME) String region, @NotNull @Valid CallerSettings callers,
+		@NotNull @Valid OperatorSettings operators, @NotNull @Valid PeerSettings peers,
+		@NotNull @Valid PlatformSettings platform, @NotNull @Valid PolicySettings policy,
+		@NotNull @Valid ClaimSettings claims, @NotNull @Valid ShutdownSettings shutdown,
+		@NotNull @Valid LogSettings logs) {
+
+	static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+
+	static final String IP_NUMBER = "[0-9]{1,3}(\\.[0-9]{1,3}){3}|[0-9A-Fa-f:]*:[0-9A-Fa-f:.]+";
+
+	/**
+	 * Fills in the defaults of sections that are not written.
+	 */
+	public DaemonSettings {
+		region = (region != null) ? region : "default";
+		policy = (policy != null) ? policy : PolicySettings.DEFAULTS;
+		claims = (claims != null) ? claims : ClaimSettings.DEFAULTS;
+		shutdown = (shutdown != null) ? shutdown : ShutdownSettings.DEFAULTS;
+		logs = (logs != null) ? logs : LogSettings.DEFAULTS;
+	}
+
+}
