Add the callers' port and the attempts at upstreams

The path of one request: authentication, bounded body, resolution to an entry, grant, claim, attempt, relay.

The answers run on the I/O thread of the caller's exchange, so a run needs no locks; a thread for each request was weighed and left out because waiting requests would hold a stack each.

--- /dev/null
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/OpenController.java
@@ -0,0 +1,174 @@
+package org.cyclamenstall.junit;
+
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.policy.AttemptResult;
+import org.cyclamenstall.policy.Grant;
+import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.RequestFacts;
+import org.cyclamenstall.policy.RetryDecision;
+import org.cyclamenstall.policy.RetryReason;
+import org.cyclamenstall.policy.Ticket;
+import org.cyclamenstall.policy.TrafficController;
+
+/**
+ * Grants every attempt at once on the next of a fixed list of upstreams, and records what
+ * it is told. Thread-safe.
+ */
+public final class OpenController implements TrafficController {
+
+	private final Iterator<ListedHost> upstreams;
+
+	private final List<AttemptResult> results = new CopyOnWriteArrayList<>();
+
+	private final List<RetryReason> retries = new CopyOnWriteArrayList<>();
+
+	private final List<GrantListener> listeners = new CopyOnWriteArrayList<>();
+
+	private final AtomicInteger unfinished = new AtomicInteger();
+
+	/**
+	 * Creates a controller.
+	 * @param upstreams the upstreams of the attempts, in order
+	 */
+	public OpenController(List<ListedHost> upstreams) {
+		this.upstreams = List.copyOf(upstreams).iterator();
+	}
+
+	/**
+	 * Returns how the grants ended so far.
+	 * @return the results in order
+	 */
+	public List<AttemptResult> results() {
+		return this.results;
+	}
+
+	/**
+	 * Returns the reasons of the retries so far.
+	 * @return the reasons in order
+	 */
+	public List<RetryReason> retries() {
+		return this.retries;
+	}
+
+	/**
+	 * Returns the listeners of the grants so far, on which a test may call
+	 * {@link GrantListener#preempt()}.
+	 * @return the listeners in order
+	 */
+	public List<GrantListener> listeners() {
+		return this.listeners;
+	}
+
+	@Override
+	public Ticket submit(RequestFacts facts, GrantListener listener) {
+		this.unfinished.incrementAndGet();
+		OpenTicket ticket = new OpenTicket();
+		ticket.grant(listener);
+		return ticket;
+	}
+
+	@Override
+	public void drain() {
+	}
+
+	@Override
+	public int unfinished() {
+		return this.unfinished.get();
+	}
+
+	private final class OpenTicket implements Ticket {
+
+		private int attempts;
+
+		void grant(GrantListener listener) {
+			if (OpenController.this.upstreams.hasNext()) {
+				OpenController.this.listeners.add(listener);
+				listener.granted(new OpenGrant(OpenController.this.upstreams.next(), ++this.attempts));
+			}
+			else {
+				listener.refused(ErrorKind.NO_LIVE_UPSTREAM, "no upstream is left");
+			}
+		}
+
+		@Override
+		public boolean withdraw() {
+			return false;
+		}
+
+		@Override
+		public RetryDecision retry(RetryReason reason, GrantListener listener) {
+			OpenController.this.retries.add(reason);
+			grant(listener);
+			return RetryDecision.GRANTED;
+		}
+
+		@Override
+		public Optional<Duration> hedgeDelay() {
+			return Optional.empty();
+		}
+
+		@Override
+		public RetryDecision hedge(GrantListener listener) {
+			return RetryDecision.NO_UPSTREAM;
+		}
+
+		@Override
+		public void finish(long generatedTokens) {
+			OpenController.this.unfinished.decrementAndGet();
+		}
+
+	}
+
+	private final class OpenGrant implements Grant {
+
+		private final ListedHost upstream;
+
+		private final int attempt;
+
+		OpenGrant(ListedHost upstream, int attempt) {
+			this.upstream = upstream;
+			this.attempt = attempt;
+		}
+
+		@Override
+		public ListedHost upstream() {
+			return this.upstream;
+		}
+
+		@Override
+		public int attempt() {
+			return this.attempt;
+		}
+
+		@Override
+		public void firstToken() {
+		}
+
+		@Override
+		public void tokens(int count) {
+		}
+
+		@Override
+		public void loadReported(int running, int slots, long ageMillis) {
+		}
+
+		@Override
+		public void upstreamDraining() {
+		}
+
+		@Override
+		public void ended(AttemptResult result) {
+			OpenController.this.results.add(result);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -0,0 +1,122 @@
+package org.cyclamenstall.internal.gateway;
+
+import java.io.IOException;
+import java.util.function.BooleanSupplier;
+
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.catalogue.CatalogueEntry;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.ErrorTable;
+import org.cyclamenstall.errors.RouterException;
+
+/**
+ * Receives requests of callers: authenticates, reads the bounded body, resolves the entry
+ * and starts the run. Thread-safe.
+ */
+final class CallerHandler implements HttpHandler {
+
+	private static final Logger logger = LogManager.getLogger(CallerHandler.class);
+
+	private final RequestResolver resolver;
+
+	private final RequestIdentifiers identifiers;
+
+	private final GatewayServices services;
+
+	private final BooleanSupplier closesConnections;
+
+	private final int maximumBodyBytes;
+
+	CallerHandler(RequestResolver resolver, RequestIdentifiers identifiers, GatewayServices services,
+			BooleanSupplier closesConnections, int maximumBodyBytes) {
+		this.resolver = resolver;
+		this.identifiers = identifiers;
+		this.services = services;
+		this.closesConnections = closesConnections;
+		this.maximumBodyBytes = maximumBodyBytes;
+	}
+
+	@Override
+	public void handleRequest(HttpServerExchange exchange) {
+		this.services.metrics().opened();
+		exchange.addExchangeCompleteListener((completed, next) -> {
+			this.services.metrics().closed();
+			next.proceed();
+		});
+		if (this.closesConnections.getAsBoolean()) {
+			exchange.setPersistent(false);
+			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+		}
+		String requestId = this.identifiers.next();
+		try {
+			CatalogueEntry account = this.resolver.authenticate(exchange);
+			checkLength(exchange);
+			exchange.getRequestReceiver()
+				.receiveFullBytes((received, body) -> bodyArrived(received, account, requestId, body),
+						(failed, ex) -> bodyFailed(failed, requestId, ex));
+		}
+		catch (RouterException ex) {
+			refuse(exchange, requestId, ex);
+		}
+	}
+
+	private void bodyArrived(HttpServerExchange exchange, CatalogueEntry account, String requestId, byte[] body) {
+		try {
+			checkBound(body.length);
+			CallerRequest request = this.resolver.resolve(exchange, account, requestId, body);
+			exchange.dispatch(SameThreadExecutor.INSTANCE, () -> run(exchange, request));
+		}
+		catch (RouterException ex) {
+			refuse(exchange, requestId, ex);
+		}
+	}
+
+	private void run(HttpServerExchange exchange, CallerRequest request) {
+		try {
+			new RequestRun(exchange, request, this.services).start();
+		}
+		catch (RuntimeException ex) {
+			logger.error("Request {} failed", request.id(), ex);
+			refuse(exchange, request.id(), new RouterException(ErrorKind.INTERNAL, "the daemon failed", ex));
+		}
+	}
+
+	private void bodyFailed(HttpServerExchange exchange, String requestId, IOException ex) {
+		if (ex instanceof Receiver.RequestToLargeException) {
+			refuse(exchange, requestId, tooLarge());
+		}
+		else {
+			logger.debug("Request {} ended before its body", requestId, ex);
+			this.services.metrics().callerLeft();
+			exchange.setPersistent(false);
+			exchange.endExchange();
+		}
+	}
+
+	private void checkLength(HttpServerExchange exchange) {
+		checkBound(exchange.getRequestContentLength());
+	}
+
+	private void checkBound(long length) {
+		if (length > this.maximumBodyBytes) {
+			throw tooLarge();
+		}
+	}
+
+	private RouterException tooLarge() {
+		return new RouterException(ErrorKind.BODY_TOO_LARGE, "the body exceeds " + this.maximumBodyBytes + " bytes");
+	}
+
+	private void refuse(HttpServerExchange exchange, String requestId, RouterException ex) {
+		this.services.metrics().failed(ex.kind(), ErrorTable.answerFor(ex.kind()).outcome());
+		String detail = (ex.getMessage() != null) ? ex.getMessage() : ex.kind().code();
+		this.services.writer().error(exchange, requestId, ex.kind(), ErrorTable.answerFor(ex.kind()).outcome(), detail);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -0,0 +1,174 @@
+package org.cyclamenstall.internal.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import org.cyclamenstall.catalogue.CatalogueReplica;
+import org.cyclamenstall.claims.ClaimRegistry;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.internal.upstream.UpstreamConnections;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.kernel.Service;
+import org.cyclamenstall.policy.TrafficController;
+import org.cyclamenstall.settings.CallerSettings;
+import org.cyclamenstall.settings.DaemonSettings;
+import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * Listens on the callers' port. Thread-safe.
+ */
+public final class CallerServer implements Service {
+
+	private static final int BUFFER_BYTES = 16_384;
+
+	private static final int CLAIM_THREADS = 16;
+
+	private static final int MILLIS_PER_SECOND = 1_000;
+
+	private static final int LISTEN_BACKLOG = 1_000;
+
+	private static final OptionMap WORKER_OPTIONS = OptionMap.builder()
+		.set(Options.WORKER_IO_THREADS, Math.max(2, Runtime.getRuntime().availableProcessors() / 2))
+		.set(Options.WORKER_TASK_CORE_THREADS, 1)
+		.set(Options.WORKER_TASK_MAX_THREADS, 4)
+		.set(Options.WORKER_NAME, "callers")
+		.getMap();
+
+	private final DaemonSettings settings;
+
+	private final GatewayMetrics metrics;
+
+	private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+
+	private final ExecutorService blockingWork = Executors.newFixedThreadPool(CLAIM_THREADS, CallerServer::thread);
+
+	private final HttpHandler handler;
+
+	private volatile boolean closesConnections;
+
+	private @Nullable XnioWorker worker;
+
+	private @Nullable AcceptingChannel<StreamConnection> listening;
+
+	/**
+	 * Creates a server.
+	 * @param settings the settings of the daemon
+	 * @param incarnation the start of the daemon, in milliseconds since the epoch
+	 * @param catalogue the catalogue in force
+	 * @param controller decides on requests
+	 * @param claims claims named requests
+	 * @param clock the monotonic clock
+	 * @param registry takes the metrics
+	 */
+	public CallerServer(DaemonSettings settings, long incarnation, CatalogueReplica catalogue,
+			TrafficController controller, ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry) {
+		this.settings = settings;
+		this.metrics = new GatewayMetrics(registry);
+		GatewayServices services = new GatewayServices(controller, claims, new UpstreamConnections(this.buffers, clock),
+				new AnswerWriter(settings.host()), this.metrics, settings.policy(), clock, this.blockingWork);
+		this.handler = new CallerHandler(new RequestResolver(catalogue, clock),
+				new RequestIdentifiers(settings.host(), incarnation), services, () -> this.closesConnections,
+				settings.callers().maximumBodyBytes());
+	}
+
+	@Override
+	public void start() {
+		CallerSettings callers = this.settings.callers();
+		HttpOpenListener openListener = new HttpOpenListener(this.buffers, serverOptions(callers));
+		openListener.setRootHandler(this.handler);
+		try {
+			this.worker = Xnio.getInstance().createWorker(WORKER_OPTIONS);
+			this.listening = this.worker.createStreamConnectionServer(
+					new InetSocketAddress(callers.address(), callers.port()),
+					ChannelListeners.openListenerAdapter(openListener), socketOptions(callers));
+			this.listening.resumeAccepts();
+		}
+		catch (IOException ex) {
+			throw new RouterException(ErrorKind.SETTINGS_INVALID,
+					"cannot listen on " + callers.address() + ":" + callers.port(), ex);
+		}
+	}
+
+	/**
+	 * Returns the address that is listened on.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
+		if (this.listening == null) {
+			throw new IllegalStateException("The server is not started");
+		}
+		return this.listening.getLocalAddress(InetSocketAddress.class);
+	}
+
+	/**
+	 * Asks callers to open a new connection after their next answer.
+	 */
+	public void closeConnectionsAfterAnswers() {
+		this.closesConnections = true;
+	}
+
+	/**
+	 * Closes the listening socket; open connections are served.
+	 */
+	public void stopListening() {
+		IoUtils.safeClose(this.listening);
+	}
+
+	/**
+	 * Returns the number of requests that are not answered.
+	 * @return the count
+	 */
+	public int openRequests() {
+		return this.metrics.open();
+	}
+
+	@Override
+	public void close() {
+		stopListening();
+		if (this.worker != null) {
+			this.worker.shutdownNow();
+		}
+		this.blockingWork.shutdownNow();
+	}
+
+	private static OptionMap serverOptions(CallerSettings callers) {
+		return OptionMap.builder()
+			.set(UndertowOptions.MAX_HEADER_SIZE, callers.maximumHeaderBytes())
+			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, callers.requestReadSeconds() * MILLIS_PER_SECOND)
+			.set(UndertowOptions.NO_REQUEST_TIMEOUT, callers.idleSeconds() * MILLIS_PER_SECOND)
+			.getMap();
+	}
+
+	private static OptionMap socketOptions(CallerSettings callers) {
+		return OptionMap.builder()
+			.set(Options.TCP_NODELAY, true)
+			.set(Options.REUSE_ADDRESSES, true)
+			.set(Options.BACKLOG, LISTEN_BACKLOG)
+			.set(Options.CONNECTION_HIGH_WATER, callers.maximumConnections())
+			.set(Options.CONNECTION_LOW_WATER, callers.maximumConnections())
+			.getMap();
+	}
+
+	private static Thread thread(Runnable task) {
+		Thread thread = new Thread(task, "claims");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestIdentifiers.java
@@ -0,0 +1,23 @@
+package org.cyclamenstall.internal.gateway;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Makes request identifiers that are unique among all daemons: host, incarnation and a
+ * counter. Thread-safe.
+ */
+final class RequestIdentifiers {
+
+	private final String prefix;
+
+	private final AtomicLong counter = new AtomicLong();
+
+	RequestIdentifiers(String host, long incarnation) {
+		this.prefix = host + "." + Long.toString(incarnation, Character.MAX_RADIX) + ".";
+	}
+
+	String next() {
+		return this.prefix + Long.toString(this.counter.incrementAndGet(), Character.MAX_RADIX);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The upstreams' side: connections, attempts and the reading of their answers.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.internal.upstream;
