--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/http/StandinServer.java
@@ -0,0 +1,189 @@
+package org.cyclamenstall.standin.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import org.jspecify.annotations.Nullable;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Serves the two ports of a stand-in: one for its service, which can be made unavailable,
+ * and one for control requests only. All servers of a process share their I/O threads.
+ * Thread-safe.
+ */
+public final class StandinServer implements AutoCloseable {
+
+	private static final int IO_THREADS = 4;
+
+	private static final int TASK_THREADS = 4;
+
+	private final String address;
+
+	private final HttpHandler serviceHandler;
+
+	private final ControlRoutes routes;
+
+	private final Undertow control;
+
+	private final int controlPort;
+
+	private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
+
+	private final int port;
+
+	private @Nullable Undertow service;
+
+	private volatile Availability availability = Availability.UP;
+
+	/**
+	 * Creates a server and starts to listen on both ports.
+	 * @param address the IP number to listen on
+	 * @param port the port of the service; 0 takes a free one
+	 * @param controlPort the port of control requests; 0 takes a free one
+	 * @param serviceHandler the handler of the service
+	 * @param routes the control routes, served on both ports
+	 */
+	public StandinServer(String address, int port, int controlPort, HttpHandler serviceHandler, ControlRoutes routes) {
+		this.address = address;
+		this.serviceHandler = serviceHandler;
+		this.routes = routes;
+		this.service = listen(port, this::serve);
+		this.port = boundPort(this.service);
+		this.control = listen(controlPort, routes);
+		this.controlPort = boundPort(this.control);
+	}
+
+	/**
+	 * Returns the address.
+	 * @return the IP number
+	 */
+	public String address() {
+		return this.address;
+	}
+
+	/**
+	 * Returns the port of the service.
+	 * @return the bound port
+	 */
+	public int port() {
+		return this.port;
+	}
+
+	/**
+	 * Returns the port of control requests.
+	 * @return the bound port
+	 */
+	public int controlPort() {
+		return this.controlPort;
+	}
+
+	/**
+	 * Changes how connections to the service are treated.
+	 * @param next the new availability
+	 */
+	public synchronized void setAvailability(Availability next) {
+		this.availability = next;
+		if (next == Availability.REFUSING) {
+			stopService();
+		}
+		else if (this.service == null) {
+			this.service = listen(this.port, this::serve);
+		}
+		if (next == Availability.CLOSING) {
+			closeConnections();
+		}
+	}
+
+	/**
+	 * Closes every open connection to the service at once.
+	 */
+	public void closeConnections() {
+		this.connections.forEach(IoUtils::safeClose);
+	}
+
+	@Override
+	public synchronized void close() {
+		stopService();
+		this.control.stop();
+	}
+
+	private void serve(HttpServerExchange exchange) throws Exception {
+		ServerConnection connection = exchange.getConnection();
+		if (this.connections.add(connection)) {
+			connection.addCloseListener(this.connections::remove);
+		}
+		if (exchange.getRequestPath().startsWith(ControlRoutes.PREFIX)) {
+			this.routes.handleRequest(exchange);
+		}
+		else if (this.availability == Availability.UP) {
+			this.serviceHandler.handleRequest(exchange);
+		}
+		else {
+			IoUtils.safeClose(connection);
+		}
+	}
+
+	private void stopService() {
+		Undertow running = this.service;
+		this.service = null;
+		if (running != null) {
+			running.stop();
+		}
+		closeConnections();
+	}
+
+	private Undertow listen(int listenPort, HttpHandler handler) {
+		Undertow server = Undertow.builder()
+			.setWorker(SharedWorker.WORKER)
+			.addHttpListener(listenPort, this.address)
+			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, -1)
+			.setHandler(handler)
+			.build();
+		server.start();
+		return server;
+	}
+
+	private static int boundPort(Undertow server) {
+		return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+	}
+
+	private static final class SharedWorker {
+
+		private static final XnioWorker WORKER = create();
+
+		private SharedWorker() {
+		}
+
+		private static XnioWorker create() {
+			try {
+				return Xnio.getInstance()
+					.createWorker(OptionMap.builder()
+						.set(Options.WORKER_NAME, "standin")
+						.set(Options.WORKER_IO_THREADS, IO_THREADS)
+						.set(Options.WORKER_TASK_CORE_THREADS, TASK_THREADS)
+						.set(Options.WORKER_TASK_MAX_THREADS, TASK_THREADS)
+						.set(Options.THREAD_DAEMON, true)
+						.set(Options.TCP_NODELAY, true)
+						.getMap());
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The open-loop load tool.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.standin.load;
