--- a/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/ExchangeRequest.java
+++ b/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/ExchangeRequest.java
@@ -28,6 +28,21 @@
 	private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField(
 			"leaving", org.apache.thrift.protocol.TType.BOOL, (short) 4);
 
+	private static final org.apache.thrift.protocol.TField CATALOGUE_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"catalogue", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
+
+	private static final org.apache.thrift.protocol.TField RECORDS_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"records", org.apache.thrift.protocol.TType.LIST, (short) 6);
+
+	private static final org.apache.thrift.protocol.TField DEMAND_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"demand", org.apache.thrift.protocol.TType.STRUCT, (short) 7);
+
+	private static final org.apache.thrift.protocol.TField NEWCOMER_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"newcomer", org.apache.thrift.protocol.TType.BOOL, (short) 8);
+
+	private static final org.apache.thrift.protocol.TField RECORDS_AFTER_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"recordsAfter", org.apache.thrift.protocol.TType.I64, (short) 9);
+
 	private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ExchangeRequestStandardSchemeFactory();
 
 	private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ExchangeRequestTupleSchemeFactory();
@@ -40,6 +55,16 @@
 
 	private boolean leaving; // optional
 
+	private @org.apache.thrift.annotation.Nullable CatalogueState catalogue; // optional
+
+	private @org.apache.thrift.annotation.Nullable java.util.List<CatalogueItem> records; // optional
+
+	private @org.apache.thrift.annotation.Nullable Demand demand; // optional
+
+	private boolean newcomer; // optional
+
+	private long recordsAfter; // optional
+
 	/**
 	 * The set of fields this struct contains, along with convenience methods for finding
 	 * and manipulating them.
@@ -47,7 +72,8 @@
 	public enum _Fields implements org.apache.thrift.TFieldIdEnum {
 
 		SENDER((short) 1, "sender"), SECRET((short) 2, "secret"), CATALOGUE_REVISION((short) 3, "catalogueRevision"),
-		LEAVING((short) 4, "leaving");
+		LEAVING((short) 4, "leaving"), CATALOGUE((short) 5, "catalogue"), RECORDS((short) 6, "records"),
+		DEMAND((short) 7, "demand"), NEWCOMER((short) 8, "newcomer"), RECORDS_AFTER((short) 9, "recordsAfter");
 
 		private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -71,6 +97,16 @@
 					return CATALOGUE_REVISION;
 				case 4: // LEAVING
 					return LEAVING;
+				case 5: // CATALOGUE
+					return CATALOGUE;
+				case 6: // RECORDS
+					return RECORDS;
+				case 7: // DEMAND
+					return DEMAND;
+				case 8: // NEWCOMER
+					return NEWCOMER;
+				case 9: // RECORDS_AFTER
+					return RECORDS_AFTER;
 				default:
 					return null;
 			}
@@ -121,9 +157,14 @@
 
 	private static final int __LEAVING_ISSET_ID = 1;
 
+	private static final int __NEWCOMER_ISSET_ID = 2;
+
+	private static final int __RECORDSAFTER_ISSET_ID = 3;
+
 	private byte __isset_bitfield = 0;
 
-	private static final _Fields optionals[] = { _Fields.SECRET, _Fields.CATALOGUE_REVISION, _Fields.LEAVING };
+	private static final _Fields optionals[] = { _Fields.SECRET, _Fields.CATALOGUE_REVISION, _Fields.LEAVING,
+			_Fields.CATALOGUE, _Fields.RECORDS, _Fields.DEMAND, _Fields.NEWCOMER, _Fields.RECORDS_AFTER };
 
 	public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 	static {
@@ -146,6 +187,28 @@
 				new org.apache.thrift.meta_data.FieldMetaData("leaving",
 						org.apache.thrift.TFieldRequirementType.OPTIONAL,
 						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+		tmpMap.put(_Fields.CATALOGUE,
+				new org.apache.thrift.meta_data.FieldMetaData("catalogue",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+								CatalogueState.class)));
+		tmpMap.put(_Fields.RECORDS,
+				new org.apache.thrift.meta_data.FieldMetaData("records",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+								new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+										CatalogueItem.class))));
+		tmpMap.put(_Fields.DEMAND, new org.apache.thrift.meta_data.FieldMetaData("demand",
+				org.apache.thrift.TFieldRequirementType.OPTIONAL,
+				new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Demand.class)));
+		tmpMap.put(_Fields.NEWCOMER,
+				new org.apache.thrift.meta_data.FieldMetaData("newcomer",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+		tmpMap.put(_Fields.RECORDS_AFTER,
+				new org.apache.thrift.meta_data.FieldMetaData("recordsAfter",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
 		metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
 		org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ExchangeRequest.class, metaDataMap);
 	}
@@ -171,6 +234,22 @@
 		}
 		this.catalogueRevision = other.catalogueRevision;
 		this.leaving = other.leaving;
+		if (other.isSetCatalogue()) {
+			this.catalogue = new CatalogueState(other.catalogue);
+		}
+		if (other.isSetRecords()) {
+			java.util.List<CatalogueItem> __this__records = new java.util.ArrayList<CatalogueItem>(
+					other.records.size());
+			for (CatalogueItem other_element : other.records) {
+				__this__records.add(new CatalogueItem(other_element));
+			}
+			this.records = __this__records;
+		}
+		if (other.isSetDemand()) {
+			this.demand = new Demand(other.demand);
+		}
+		this.newcomer = other.newcomer;
+		this.recordsAfter = other.recordsAfter;
 	}
 
 	@Override
@@ -186,6 +265,13 @@
 		this.catalogueRevision = 0;
 		setLeavingIsSet(false);
 		this.leaving = false;
+		this.catalogue = null;
+		this.records = null;
+		this.demand = null;
+		setNewcomerIsSet(false);
+		this.newcomer = false;
+		setRecordsAfterIsSet(false);
+		this.recordsAfter = 0;
 	}
 
 	@org.apache.thrift.annotation.Nullable
@@ -295,6 +381,157 @@
 		__isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVING_ISSET_ID, value);
 	}
 
+	@org.apache.thrift.annotation.Nullable
+	public CatalogueState getCatalogue() {
+		return this.catalogue;
+	}
+
+	public ExchangeRequest setCatalogue(@org.apache.thrift.annotation.Nullable CatalogueState catalogue) {
+		this.catalogue = catalogue;
+		return this;
+	}
+
+	public void unsetCatalogue() {
+		this.catalogue = null;
+	}
+
+	/**
+	 * Returns true if field catalogue is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetCatalogue() {
+		return this.catalogue != null;
+	}
+
+	public void setCatalogueIsSet(boolean value) {
+		if (!value) {
+			this.catalogue = null;
+		}
+	}
+
+	public int getRecordsSize() {
+		return (this.records == null) ? 0 : this.records.size();
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public java.util.Iterator<CatalogueItem> getRecordsIterator() {
+		return (this.records == null) ? null : this.records.iterator();
+	}
+
+	public void addToRecords(CatalogueItem elem) {
+		if (this.records == null) {
+			this.records = new java.util.ArrayList<CatalogueItem>();
+		}
+		this.records.add(elem);
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public java.util.List<CatalogueItem> getRecords() {
+		return this.records;
+	}
+
+	public ExchangeRequest setRecords(@org.apache.thrift.annotation.Nullable java.util.List<CatalogueItem> records) {
+		this.records = records;
+		return this;
+	}
+
+	public void unsetRecords() {
+		this.records = null;
+	}
+
+	/**
+	 * Returns true if field records is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetRecords() {
+		return this.records != null;
+	}
+
+	public void setRecordsIsSet(boolean value) {
+		if (!value) {
+			this.records = null;
+		}
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public Demand getDemand() {
+		return this.demand;
+	}
+
+	public ExchangeRequest setDemand(@org.apache.thrift.annotation.Nullable Demand demand) {
+		this.demand = demand;
+		return this;
+	}
+
+	public void unsetDemand() {
+		this.demand = null;
+	}
+
+	/**
+	 * Returns true if field demand is set (has been assigned a value) and false otherwise
+	 */
+	public boolean isSetDemand() {
+		return this.demand != null;
+	}
+
+	public void setDemandIsSet(boolean value) {
+		if (!value) {
+			this.demand = null;
+		}
+	}
+
+	public boolean isNewcomer() {
+		return this.newcomer;
+	}
+
+	public ExchangeRequest setNewcomer(boolean newcomer) {
+		this.newcomer = newcomer;
+		setNewcomerIsSet(true);
+		return this;
+	}
+
+	public void unsetNewcomer() {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NEWCOMER_ISSET_ID);
+	}
+
+	/**
+	 * Returns true if field newcomer is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetNewcomer() {
+		return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NEWCOMER_ISSET_ID);
+	}
+
+	public void setNewcomerIsSet(boolean value) {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NEWCOMER_ISSET_ID, value);
+	}
+
+	public long getRecordsAfter() {
+		return this.recordsAfter;
+	}
+
+	public ExchangeRequest setRecordsAfter(long recordsAfter) {
+		this.recordsAfter = recordsAfter;
+		setRecordsAfterIsSet(true);
+		return this;
+	}
+
+	public void unsetRecordsAfter() {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RECORDSAFTER_ISSET_ID);
+	}
+
+	/**
+	 * Returns true if field recordsAfter is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetRecordsAfter() {
+		return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RECORDSAFTER_ISSET_ID);
+	}
+
+	public void setRecordsAfterIsSet(boolean value) {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RECORDSAFTER_ISSET_ID, value);
+	}
+
 	@Override
 	public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
 		switch (field) {
@@ -334,6 +571,51 @@
 				}
 				break;
 
+			case CATALOGUE:
+				if (value == null) {
+					unsetCatalogue();
+				}
+				else {
+					setCatalogue((CatalogueState) value);
+				}
+				break;
+
+			case RECORDS:
+				if (value == null) {
+					unsetRecords();
+				}
+				else {
+					setRecords((java.util.List<CatalogueItem>) value);
+				}
+				break;
+
+			case DEMAND:
+				if (value == null) {
+					unsetDemand();
+				}
+				else {
+					setDemand((Demand) value);
+				}
+				break;
+
+			case NEWCOMER:
+				if (value == null) {
+					unsetNewcomer();
+				}
+				else {
+					setNewcomer((java.lang.Boolean) value);
+				}
+				break;
+
+			case RECORDS_AFTER:
+				if (value == null) {
+					unsetRecordsAfter();
+				}
+				else {
+					setRecordsAfter((java.lang.Long) value);
+				}
+				break;
+
 		}
 	}
 
@@ -353,6 +635,21 @@
 			case LEAVING:
 				return isLeaving();
 
+			case CATALOGUE:
+				return getCatalogue();
+
+			case RECORDS:
+				return getRecords();
+
+			case DEMAND:
+				return getDemand();
+
+			case NEWCOMER:
+				return isNewcomer();
+
+			case RECORDS_AFTER:
+				return getRecordsAfter();
+
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -376,6 +673,16 @@
 				return isSetCatalogueRevision();
 			case LEAVING:
 				return isSetLeaving();
+			case CATALOGUE:
+				return isSetCatalogue();
+			case RECORDS:
+				return isSetRecords();
+			case DEMAND:
+				return isSetDemand();
+			case NEWCOMER:
+				return isSetNewcomer();
+			case RECORDS_AFTER:
+				return isSetRecordsAfter();
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -429,6 +736,51 @@
 				return false;
 		}
 
+		boolean this_present_catalogue = true && this.isSetCatalogue();
+		boolean that_present_catalogue = true && that.isSetCatalogue();
+		if (this_present_catalogue || that_present_catalogue) {
+			if (!(this_present_catalogue && that_present_catalogue))
+				return false;
+			if (!this.catalogue.equals(that.catalogue))
+				return false;
+		}
+
+		boolean this_present_records = true && this.isSetRecords();
+		boolean that_present_records = true && that.isSetRecords();
+		if (this_present_records || that_present_records) {
+			if (!(this_present_records && that_present_records))
+				return false;
+			if (!this.records.equals(that.records))
+				return false;
+		}
+
+		boolean this_present_demand = true && this.isSetDemand();
+		boolean that_present_demand = true && that.isSetDemand();
+		if (this_present_demand || that_present_demand) {
+			if (!(this_present_demand && that_present_demand))
+				return false;
+			if (!this.demand.equals(that.demand))
+				return false;
+		}
+
+		boolean this_present_newcomer = true && this.isSetNewcomer();
+		boolean that_present_newcomer = true && that.isSetNewcomer();
+		if (this_present_newcomer || that_present_newcomer) {
+			if (!(this_present_newcomer && that_present_newcomer))
+				return false;
+			if (this.newcomer != that.newcomer)
+				return false;
+		}
+
+		boolean this_present_recordsAfter = true && this.isSetRecordsAfter();
+		boolean that_present_recordsAfter = true && that.isSetRecordsAfter();
+		if (this_present_recordsAfter || that_present_recordsAfter) {
+			if (!(this_present_recordsAfter && that_present_recordsAfter))
+				return false;
+			if (this.recordsAfter != that.recordsAfter)
+				return false;
+		}
+
 		return true;
 	}
 
@@ -452,6 +804,26 @@
 		if (isSetLeaving())
 			hashCode = hashCode * 8191 + ((leaving) ? 131071 : 524287);
 
+		hashCode = hashCode * 8191 + ((isSetCatalogue()) ? 131071 : 524287);
+		if (isSetCatalogue())
+			hashCode = hashCode * 8191 + catalogue.hashCode();
+
+		hashCode = hashCode * 8191 + ((isSetRecords()) ? 131071 : 524287);
+		if (isSetRecords())
+			hashCode = hashCode * 8191 + records.hashCode();
+
+		hashCode = hashCode * 8191 + ((isSetDemand()) ? 131071 : 524287);
+		if (isSetDemand())
+			hashCode = hashCode * 8191 + demand.hashCode();
+
+		hashCode = hashCode * 8191 + ((isSetNewcomer()) ? 131071 : 524287);
+		if (isSetNewcomer())
+			hashCode = hashCode * 8191 + ((newcomer) ? 131071 : 524287);
+
+		hashCode = hashCode * 8191 + ((isSetRecordsAfter()) ? 131071 : 524287);
+		if (isSetRecordsAfter())
+			hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(recordsAfter);
+
 		return hashCode;
 	}
 
@@ -503,6 +875,56 @@
 				return lastComparison;
 			}
 		}
+		lastComparison = java.lang.Boolean.compare(isSetCatalogue(), other.isSetCatalogue());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetCatalogue()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.catalogue, other.catalogue);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
+		lastComparison = java.lang.Boolean.compare(isSetRecords(), other.isSetRecords());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetRecords()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.records, other.records);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
+		lastComparison = java.lang.Boolean.compare(isSetDemand(), other.isSetDemand());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetDemand()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.demand, other.demand);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
+		lastComparison = java.lang.Boolean.compare(isSetNewcomer(), other.isSetNewcomer());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetNewcomer()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.newcomer, other.newcomer);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
+		lastComparison = java.lang.Boolean.compare(isSetRecordsAfter(), other.isSetRecordsAfter());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetRecordsAfter()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.recordsAfter, other.recordsAfter);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
 		return 0;
 	}
 
@@ -561,6 +983,56 @@
 			sb.append(this.leaving);
 			first = false;
 		}
+		if (isSetCatalogue()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("catalogue:");
+			if (this.catalogue == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.catalogue);
+			}
+			first = false;
+		}
+		if (isSetRecords()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("records:");
+			if (this.records == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.records);
+			}
+			first = false;
+		}
+		if (isSetDemand()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("demand:");
+			if (this.demand == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.demand);
+			}
+			first = false;
+		}
+		if (isSetNewcomer()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("newcomer:");
+			sb.append(this.newcomer);
+			first = false;
+		}
+		if (isSetRecordsAfter()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("recordsAfter:");
+			sb.append(this.recordsAfter);
+			first = false;
+		}
 		sb.append(")");
 		return sb.toString();
 	}
@@ -575,6 +1047,12 @@
 		if (sender != null) {
 			sender.validate();
 		}
+		if (catalogue != null) {
+			catalogue.validate();
+		}
+		if (demand != null) {
+			demand.validate();
+		}
 	}
 
 	private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -660,6 +1138,64 @@
 							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 						}
 						break;
+					case 5: // CATALOGUE
+						if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+							struct.catalogue = new CatalogueState();
+							struct.catalogue.read(iprot);
+							struct.setCatalogueIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
+					case 6: // RECORDS
+						if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+							{
+								org.apache.thrift.protocol.TList _list20 = iprot.readListBegin();
+								struct.records = new java.util.ArrayList<CatalogueItem>(_list20.size);
+								@org.apache.thrift.annotation.Nullable
+								CatalogueItem _elem21;
+								for (int _i22 = 0; _i22 < _list20.size; ++_i22) {
+									_elem21 = new CatalogueItem();
+									_elem21.read(iprot);
+									struct.records.add(_elem21);
+								}
+								iprot.readListEnd();
+							}
+							struct.setRecordsIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
+					case 7: // DEMAND
+						if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+							struct.demand = new Demand();
+							struct.demand.read(iprot);
+							struct.setDemandIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
+					case 8: // NEWCOMER
+						if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+							struct.newcomer = iprot.readBool();
+							struct.setNewcomerIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
+					case 9: // RECORDS_AFTER
+						if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+							struct.recordsAfter = iprot.readI64();
+							struct.setRecordsAfterIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
 					default:
 						org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 				}
@@ -700,6 +1236,44 @@
 				oprot.writeBool(struct.leaving);
 				oprot.writeFieldEnd();
 			}
+			if (struct.catalogue != null) {
+				if (struct.isSetCatalogue()) {
+					oprot.writeFieldBegin(CATALOGUE_FIELD_DESC);
+					struct.catalogue.write(oprot);
+					oprot.writeFieldEnd();
+				}
+			}
+			if (struct.records != null) {
+				if (struct.isSetRecords()) {
+					oprot.writeFieldBegin(RECORDS_FIELD_DESC);
+					{
+						oprot.writeListBegin(new org.apache.thrift.protocol.TList(
+								org.apache.thrift.protocol.TType.STRUCT, struct.records.size()));
+						for (CatalogueItem _iter23 : struct.records) {
+							_iter23.write(oprot);
+						}
+						oprot.writeListEnd();
+					}
+					oprot.writeFieldEnd();
+				}
+			}
+			if (struct.demand != null) {
+				if (struct.isSetDemand()) {
+					oprot.writeFieldBegin(DEMAND_FIELD_DESC);
+					struct.demand.write(oprot);
+					oprot.writeFieldEnd();
+				}
+			}
+			if (struct.isSetNewcomer()) {
+				oprot.writeFieldBegin(NEWCOMER_FIELD_DESC);
+				oprot.writeBool(struct.newcomer);
+				oprot.writeFieldEnd();
+			}
+			if (struct.isSetRecordsAfter()) {
+				oprot.writeFieldBegin(RECORDS_AFTER_FIELD_DESC);
+				oprot.writeI64(struct.recordsAfter);
+				oprot.writeFieldEnd();
+			}
 			oprot.writeFieldStop();
 			oprot.writeStructEnd();
 		}
@@ -732,7 +1306,22 @@
 			if (struct.isSetLeaving()) {
 				optionals.set(2);
 			}
-			oprot.writeBitSet(optionals, 3);
+			if (struct.isSetCatalogue()) {
+				optionals.set(3);
+			}
+			if (struct.isSetRecords()) {
+				optionals.set(4);
+			}
+			if (struct.isSetDemand()) {
+				optionals.set(5);
+			}
+			if (struct.isSetNewcomer()) {
+				optionals.set(6);
+			}
+			if (struct.isSetRecordsAfter()) {
+				optionals.set(7);
+			}
+			oprot.writeBitSet(optionals, 8);
 			if (struct.isSetSecret()) {
 				oprot.writeString(struct.secret);
 			}
@@ -742,6 +1331,26 @@
 			if (struct.isSetLeaving()) {
 				oprot.writeBool(struct.leaving);
 			}
+			if (struct.isSetCatalogue()) {
+				struct.catalogue.write(oprot);
+			}
+			if (struct.isSetRecords()) {
+				{
+					oprot.writeI32(struct.records.size());
+					for (CatalogueItem _iter24 : struct.records) {
+						_iter24.write(oprot);
+					}
+				}
+			}
+			if (struct.isSetDemand()) {
+				struct.demand.write(oprot);
+			}
+			if (struct.isSetNewcomer()) {
+				oprot.writeBool(struct.newcomer);
+			}
+			if (struct.isSetRecordsAfter()) {
+				oprot.writeI64(struct.recordsAfter);
+			}
 		}
 
 		@Override
@@ -751,7 +1360,7 @@
 			struct.sender = new Identity();
 			struct.sender.read(iprot);
 			struct.setSenderIsSet(true);
-			java.util.BitSet incoming = iprot.readBitSet(3);
+			java.util.BitSet incoming = iprot.readBitSet(8);
 			if (incoming.get(0)) {
 				struct.secret = iprot.readString();
 				struct.setSecretIsSet(true);
@@ -764,6 +1373,39 @@
 				struct.leaving = iprot.readBool();
 				struct.setLeavingIsSet(true);
 			}
+			if (incoming.get(3)) {
+				struct.catalogue = new CatalogueState();
+				struct.catalogue.read(iprot);
+				struct.setCatalogueIsSet(true);
+			}
+			if (incoming.get(4)) {
+				{
+					org.apache.thrift.protocol.TList _list25 = iprot
+						.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+					struct.records = new java.util.ArrayList<CatalogueItem>(_list25.size);
+					@org.apache.thrift.annotation.Nullable
+					CatalogueItem _elem26;
+					for (int _i27 = 0; _i27 < _list25.size; ++_i27) {
+						_elem26 = new CatalogueItem();
+						_elem26.read(iprot);
+						struct.records.add(_elem26);
+					}
+				}
+				struct.setRecordsIsSet(true);
+			}
+			if (incoming.get(5)) {
+				struct.demand = new Demand();
+				struct.demand.read(iprot);
+				struct.setDemandIsSet(true);
+			}
+			if (incoming.get(6)) {
+				struct.newcomer = iprot.readBool();
+				struct.setNewcomerIsSet(true);
+			}
+			if (incoming.get(7)) {
+				struct.recordsAfter = iprot.readI64();
+				struct.setRecordsAfterIsSet(true);
+			}
 		}
 
 	}
--- a/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/ExchangeResponse.java
+++ b/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/ExchangeResponse.java
@@ -25,6 +25,21 @@
 	private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField(
 			"leaving", org.apache.thrift.protocol.TType.BOOL, (short) 3);
 
+	private static final org.apache.thrift.protocol.TField CATALOGUE_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"catalogue", org.apache.thrift.protocol.TType.STRUCT, (short) 4);
+
+	private static final org.apache.thrift.protocol.TField RECORDS_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"records", org.apache.thrift.protocol.TType.LIST, (short) 5);
+
+	private static final org.apache.thrift.protocol.TField DEMAND_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"demand", org.apache.thrift.protocol.TType.STRUCT, (short) 6);
+
+	private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"members", org.apache.thrift.protocol.TType.LIST, (short) 7);
+
+	private static final org.apache.thrift.protocol.TField RECORDS_AFTER_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"recordsAfter", org.apache.thrift.protocol.TType.I64, (short) 8);
+
 	private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ExchangeResponseStandardSchemeFactory();
 
 	private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ExchangeResponseTupleSchemeFactory();
@@ -35,6 +50,16 @@
 
 	private boolean leaving; // optional
 
+	private @org.apache.thrift.annotation.Nullable CatalogueState catalogue; // optional
+
+	private @org.apache.thrift.annotation.Nullable java.util.List<CatalogueItem> records; // optional
+
+	private @org.apache.thrift.annotation.Nullable Demand demand; // optional
+
+	private @org.apache.thrift.annotation.Nullable java.util.List<Identity> members; // optional
+
+	private long recordsAfter; // optional
+
 	/**
 	 * The set of fields this struct contains, along with convenience methods for finding
 	 * and manipulating them.
@@ -42,7 +67,8 @@
 	public enum _Fields implements org.apache.thrift.TFieldIdEnum {
 
 		RECEIVER((short) 1, "receiver"), CATALOGUE_REVISION((short) 2, "catalogueRevision"),
-		LEAVING((short) 3, "leaving");
+		LEAVING((short) 3, "leaving"), CATALOGUE((short) 4, "catalogue"), RECORDS((short) 5, "records"),
+		DEMAND((short) 6, "demand"), MEMBERS((short) 7, "members"), RECORDS_AFTER((short) 8, "recordsAfter");
 
 		private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -64,6 +90,16 @@
 					return CATALOGUE_REVISION;
 				case 3: // LEAVING
 					return LEAVING;
+				case 4: // CATALOGUE
+					return CATALOGUE;
+				case 5: // RECORDS
+					return RECORDS;
+				case 6: // DEMAND
+					return DEMAND;
+				case 7: // MEMBERS
+					return MEMBERS;
+				case 8: // RECORDS_AFTER
+					return RECORDS_AFTER;
 				default:
 					return null;
 			}
@@ -114,9 +150,12 @@
 
 	private static final int __LEAVING_ISSET_ID = 1;
 
+	private static final int __RECORDSAFTER_ISSET_ID = 2;
+
 	private byte __isset_bitfield = 0;
 
-	private static final _Fields optionals[] = { _Fields.CATALOGUE_REVISION, _Fields.LEAVING };
+	private static final _Fields optionals[] = { _Fields.CATALOGUE_REVISION, _Fields.LEAVING, _Fields.CATALOGUE,
+			_Fields.RECORDS, _Fields.DEMAND, _Fields.MEMBERS, _Fields.RECORDS_AFTER };
 
 	public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 	static {
@@ -135,6 +174,30 @@
 				new org.apache.thrift.meta_data.FieldMetaData("leaving",
 						org.apache.thrift.TFieldRequirementType.OPTIONAL,
 						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+		tmpMap.put(_Fields.CATALOGUE,
+				new org.apache.thrift.meta_data.FieldMetaData("catalogue",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+								CatalogueState.class)));
+		tmpMap.put(_Fields.RECORDS,
+				new org.apache.thrift.meta_data.FieldMetaData("records",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+								new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+										CatalogueItem.class))));
+		tmpMap.put(_Fields.DEMAND, new org.apache.thrift.meta_data.FieldMetaData("demand",
+				org.apache.thrift.TFieldRequirementType.OPTIONAL,
+				new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Demand.class)));
+		tmpMap.put(_Fields.MEMBERS,
+				new org.apache.thrift.meta_data.FieldMetaData("members",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST,
+								new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+										Identity.class))));
+		tmpMap.put(_Fields.RECORDS_AFTER,
+				new org.apache.thrift.meta_data.FieldMetaData("recordsAfter",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
 		metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
 		org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ExchangeResponse.class, metaDataMap);
 	}
@@ -157,6 +220,28 @@
 		}
 		this.catalogueRevision = other.catalogueRevision;
 		this.leaving = other.leaving;
+		if (other.isSetCatalogue()) {
+			this.catalogue = new CatalogueState(other.catalogue);
+		}
+		if (other.isSetRecords()) {
+			java.util.List<CatalogueItem> __this__records = new java.util.ArrayList<CatalogueItem>(
+					other.records.size());
+			for (CatalogueItem other_element : other.records) {
+				__this__records.add(new CatalogueItem(other_element));
+			}
+			this.records = __this__records;
+		}
+		if (other.isSetDemand()) {
+			this.demand = new Demand(other.demand);
+		}
+		if (other.isSetMembers()) {
+			java.util.List<Identity> __this__members = new java.util.ArrayList<Identity>(other.members.size());
+			for (Identity other_element : other.members) {
+				__this__members.add(new Identity(other_element));
+			}
+			this.members = __this__members;
+		}
+		this.recordsAfter = other.recordsAfter;
 	}
 
 	@Override
@@ -171,6 +256,12 @@
 		this.catalogueRevision = 0;
 		setLeavingIsSet(false);
 		this.leaving = false;
+		this.catalogue = null;
+		this.records = null;
+		this.demand = null;
+		this.members = null;
+		setRecordsAfterIsSet(false);
+		this.recordsAfter = 0;
 	}
 
 	@org.apache.thrift.annotation.Nullable
@@ -254,6 +345,175 @@
 		__isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVING_ISSET_ID, value);
 	}
 
+	@org.apache.thrift.annotation.Nullable
+	public CatalogueState getCatalogue() {
+		return this.catalogue;
+	}
+
+	public ExchangeResponse setCatalogue(@org.apache.thrift.annotation.Nullable CatalogueState catalogue) {
+		this.catalogue = catalogue;
+		return this;
+	}
+
+	public void unsetCatalogue() {
+		this.catalogue = null;
+	}
+
+	/**
+	 * Returns true if field catalogue is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetCatalogue() {
+		return this.catalogue != null;
+	}
+
+	public void setCatalogueIsSet(boolean value) {
+		if (!value) {
+			this.catalogue = null;
+		}
+	}
+
+	public int getRecordsSize() {
+		return (this.records == null) ? 0 : this.records.size();
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public java.util.Iterator<CatalogueItem> getRecordsIterator() {
+		return (this.records == null) ? null : this.records.iterator();
+	}
+
+	public void addToRecords(CatalogueItem elem) {
+		if (this.records == null) {
+			this.records = new java.util.ArrayList<CatalogueItem>();
+		}
+		this.records.add(elem);
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public java.util.List<CatalogueItem> getRecords() {
+		return this.records;
+	}
+
+	public ExchangeResponse setRecords(@org.apache.thrift.annotation.Nullable java.util.List<CatalogueItem> records) {
+		this.records = records;
+		return this;
+	}
+
+	public void unsetRecords() {
+		this.records = null;
+	}
+
+	/**
+	 * Returns true if field records is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetRecords() {
+		return this.records != null;
+	}
+
+	public void setRecordsIsSet(boolean value) {
+		if (!value) {
+			this.records = null;
+		}
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public Demand getDemand() {
+		return this.demand;
+	}
+
+	public ExchangeResponse setDemand(@org.apache.thrift.annotation.Nullable Demand demand) {
+		this.demand = demand;
+		return this;
+	}
+
+	public void unsetDemand() {
+		this.demand = null;
+	}
+
+	/**
+	 * Returns true if field demand is set (has been assigned a value) and false otherwise
+	 */
+	public boolean isSetDemand() {
+		return this.demand != null;
+	}
+
+	public void setDemandIsSet(boolean value) {
+		if (!value) {
+			this.demand = null;
+		}
+	}
+
+	public int getMembersSize() {
+		return (this.members == null) ? 0 : this.members.size();
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public java.util.Iterator<Identity> getMembersIterator() {
+		return (this.members == null) ? null : this.members.iterator();
+	}
+
+	public void addToMembers(Identity elem) {
+		if (this.members == null) {
+			this.members = new java.util.ArrayList<Identity>();
+		}
+		this.members.add(elem);
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public java.util.List<Identity> getMembers() {
+		return this.members;
+	}
+
+	public ExchangeResponse setMembers(@org.apache.thrift.annotation.Nullable java.util.List<Identity> members) {
+		this.members = members;
+		return this;
+	}
+
+	public void unsetMembers() {
+		this.members = null;
+	}
+
+	/**
+	 * Returns true if field members is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetMembers() {
+		return this.members != null;
+	}
+
+	public void setMembersIsSet(boolean value) {
+		if (!value) {
+			this.members = null;
+		}
+	}
+
+	public long getRecordsAfter() {
+		return this.recordsAfter;
+	}
+
+	public ExchangeResponse setRecordsAfter(long recordsAfter) {
+		this.recordsAfter = recordsAfter;
+		setRecordsAfterIsSet(true);
+		return this;
+	}
+
+	public void unsetRecordsAfter() {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RECORDSAFTER_ISSET_ID);
+	}
+
+	/**
+	 * Returns true if field recordsAfter is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetRecordsAfter() {
+		return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RECORDSAFTER_ISSET_ID);
+	}
+
+	public void setRecordsAfterIsSet(boolean value) {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RECORDSAFTER_ISSET_ID, value);
+	}
+
 	@Override
 	public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
 		switch (field) {
@@ -284,6 +544,51 @@
 				}
 				break;
 
+			case CATALOGUE:
+				if (value == null) {
+					unsetCatalogue();
+				}
+				else {
+					setCatalogue((CatalogueState) value);
+				}
+				break;
+
+			case RECORDS:
+				if (value == null) {
+					unsetRecords();
+				}
+				else {
+					setRecords((java.util.List<CatalogueItem>) value);
+				}
+				break;
+
+			case DEMAND:
+				if (value == null) {
+					unsetDemand();
+				}
+				else {
+					setDemand((Demand) value);
+				}
+				break;
+
+			case MEMBERS:
+				if (value == null) {
+					unsetMembers();
+				}
+				else {
+					setMembers((java.util.List<Identity>) value);
+				}
+				break;
+
+			case RECORDS_AFTER:
+				if (value == null) {
+					unsetRecordsAfter();
+				}
+				else {
+					setRecordsAfter((java.lang.Long) value);
+				}
+				break;
+
 		}
 	}
 
@@ -300,6 +605,21 @@
 			case LEAVING:
 				return isLeaving();
 
+			case CATALOGUE:
+				return getCatalogue();
+
+			case RECORDS:
+				return getRecords();
+
+			case DEMAND:
+				return getDemand();
+
+			case MEMBERS:
+				return getMembers();
+
+			case RECORDS_AFTER:
+				return getRecordsAfter();
+
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -321,6 +641,16 @@
 				return isSetCatalogueRevision();
 			case LEAVING:
 				return isSetLeaving();
+			case CATALOGUE:
+				return isSetCatalogue();
+			case RECORDS:
+				return isSetRecords();
+			case DEMAND:
+				return isSetDemand();
+			case MEMBERS:
+				return isSetMembers();
+			case RECORDS_AFTER:
+				return isSetRecordsAfter();
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -365,6 +695,51 @@
 				return false;
 		}
 
+		boolean this_present_catalogue = true && this.isSetCatalogue();
+		boolean that_present_catalogue = true && that.isSetCatalogue();
+		if (this_present_catalogue || that_present_catalogue) {
+			if (!(this_present_catalogue && that_present_catalogue))
+				return false;
+			if (!this.catalogue.equals(that.catalogue))
+				return false;
+		}
+
+		boolean this_present_records = true && this.isSetRecords();
+		boolean that_present_records = true && that.isSetRecords();
+		if (this_present_records || that_present_records) {
+			if (!(this_present_records && that_present_records))
+				return false;
+			if (!this.records.equals(that.records))
+				return false;
+		}
+
+		boolean this_present_demand = true && this.isSetDemand();
+		boolean that_present_demand = true && that.isSetDemand();
+		if (this_present_demand || that_present_demand) {
+			if (!(this_present_demand && that_present_demand))
+				return false;
+			if (!this.demand.equals(that.demand))
+				return false;
+		}
+
+		boolean this_present_members = true && this.isSetMembers();
+		boolean that_present_members = true && that.isSetMembers();
+		if (this_present_members || that_present_members) {
+			if (!(this_present_members && that_present_members))
+				return false;
+			if (!this.members.equals(that.members))
+				return false;
+		}
+
+		boolean this_present_recordsAfter = true && this.isSetRecordsAfter();
+		boolean that_present_recordsAfter = true && that.isSetRecordsAfter();
+		if (this_present_recordsAfter || that_present_recordsAfter) {
+			if (!(this_present_recordsAfter && that_present_recordsAfter))
+				return false;
+			if (this.recordsAfter != that.recordsAfter)
+				return false;
+		}
+
 		return true;
 	}
 
@@ -384,6 +759,26 @@
 		if (isSetLeaving())
 			hashCode = hashCode * 8191 + ((leaving) ? 131071 : 524287);
 
+		hashCode = hashCode * 8191 + ((isSetCatalogue()) ? 131071 : 524287);
+		if (isSetCatalogue())
+			hashCode = hashCode * 8191 + catalogue.hashCode();
+
+		hashCode = hashCode * 8191 + ((isSetRecords()) ? 131071 : 524287);
+		if (isSetRecords())
+			hashCode = hashCode * 8191 + records.hashCode();
+
+		hashCode = hashCode * 8191 + ((isSetDemand()) ? 131071 : 524287);
+		if (isSetDemand())
+			hashCode = hashCode * 8191 + demand.hashCode();
+
+		hashCode = hashCode * 8191 + ((isSetMembers()) ? 131071 : 524287);
+		if (isSetMembers())
+			hashCode = hashCode * 8191 + members.hashCode();
+
+		hashCode = hashCode * 8191 + ((isSetRecordsAfter()) ? 131071 : 524287);
+		if (isSetRecordsAfter())
+			hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(recordsAfter);
+
 		return hashCode;
 	}
 
@@ -425,6 +820,56 @@
 				return lastComparison;
 			}
 		}
+		lastComparison = java.lang.Boolean.compare(isSetCatalogue(), other.isSetCatalogue());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetCatalogue()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.catalogue, other.catalogue);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
+		lastComparison = java.lang.Boolean.compare(isSetRecords(), other.isSetRecords());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetRecords()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.records, other.records);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
+		lastComparison = java.lang.Boolean.compare(isSetDemand(), other.isSetDemand());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetDemand()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.demand, other.demand);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
+		lastComparison = java.lang.Boolean.compare(isSetMembers(), other.isSetMembers());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetMembers()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.members, other.members);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
+		lastComparison = java.lang.Boolean.compare(isSetRecordsAfter(), other.isSetRecordsAfter());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetRecordsAfter()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.recordsAfter, other.recordsAfter);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
 		return 0;
 	}
 
@@ -471,6 +916,61 @@
 			sb.append(this.leaving);
 			first = false;
 		}
+		if (isSetCatalogue()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("catalogue:");
+			if (this.catalogue == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.catalogue);
+			}
+			first = false;
+		}
+		if (isSetRecords()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("records:");
+			if (this.records == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.records);
+			}
+			first = false;
+		}
+		if (isSetDemand()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("demand:");
+			if (this.demand == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.demand);
+			}
+			first = false;
+		}
+		if (isSetMembers()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("members:");
+			if (this.members == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.members);
+			}
+			first = false;
+		}
+		if (isSetRecordsAfter()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("recordsAfter:");
+			sb.append(this.recordsAfter);
+			first = false;
+		}
 		sb.append(")");
 		return sb.toString();
 	}
@@ -485,6 +985,12 @@
 		if (receiver != null) {
 			receiver.validate();
 		}
+		if (catalogue != null) {
+			catalogue.validate();
+		}
+		if (demand != null) {
+			demand.validate();
+		}
 	}
 
 	private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -561,6 +1067,75 @@
 							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 						}
 						break;
+					case 4: // CATALOGUE
+						if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+							struct.catalogue = new CatalogueState();
+							struct.catalogue.read(iprot);
+							struct.setCatalogueIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
+					case 5: // RECORDS
+						if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+							{
+								org.apache.thrift.protocol.TList _list28 = iprot.readListBegin();
+								struct.records = new java.util.ArrayList<CatalogueItem>(_list28.size);
+								@org.apache.thrift.annotation.Nullable
+								CatalogueItem _elem29;
+								for (int _i30 = 0; _i30 < _list28.size; ++_i30) {
+									_elem29 = new CatalogueItem();
+									_elem29.read(iprot);
+									struct.records.add(_elem29);
+								}
+								iprot.readListEnd();
+							}
+							struct.setRecordsIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
+					case 6: // DEMAND
+						if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+							struct.demand = new Demand();
+							struct.demand.read(iprot);
+							struct.setDemandIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
+					case 7: // MEMBERS
+						if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+							{
+								org.apache.thrift.protocol.TList _list31 = iprot.readListBegin();
+								struct.members = new java.util.ArrayList<Identity>(_list31.size);
+								@org.apache.thrift.annotation.Nullable
+								Identity _elem32;
+								for (int _i33 = 0; _i33 < _list31.size; ++_i33) {
+									_elem32 = new Identity();
+									_elem32.read(iprot);
+									struct.members.add(_elem32);
+								}
+								iprot.readListEnd();
+							}
+							struct.setMembersIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
+					case 8: // RECORDS_AFTER
+						if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+							struct.recordsAfter = iprot.readI64();
+							struct.setRecordsAfterIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
 					default:
 						org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 				}
@@ -594,6 +1169,53 @@
 				oprot.writeBool(struct.leaving);
 				oprot.writeFieldEnd();
 			}
+			if (struct.catalogue != null) {
+				if (struct.isSetCatalogue()) {
+					oprot.writeFieldBegin(CATALOGUE_FIELD_DESC);
+					struct.catalogue.write(oprot);
+					oprot.writeFieldEnd();
+				}
+			}
+			if (struct.records != null) {
+				if (struct.isSetRecords()) {
+					oprot.writeFieldBegin(RECORDS_FIELD_DESC);
+					{
+						oprot.writeListBegin(new org.apache.thrift.protocol.TList(
+								org.apache.thrift.protocol.TType.STRUCT, struct.records.size()));
+						for (CatalogueItem _iter34 : struct.records) {
+							_iter34.write(oprot);
+						}
+						oprot.writeListEnd();
+					}
+					oprot.writeFieldEnd();
+				}
+			}
+			if (struct.demand != null) {
+				if (struct.isSetDemand()) {
+					oprot.writeFieldBegin(DEMAND_FIELD_DESC);
+					struct.demand.write(oprot);
+					oprot.writeFieldEnd();
+				}
+			}
+			if (struct.members != null) {
+				if (struct.isSetMembers()) {
+					oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
+					{
+						oprot.writeListBegin(new org.apache.thrift.protocol.TList(
+								org.apache.thrift.protocol.TType.STRUCT, struct.members.size()));
+						for (Identity _iter35 : struct.members) {
+							_iter35.write(oprot);
+						}
+						oprot.writeListEnd();
+					}
+					oprot.writeFieldEnd();
+				}
+			}
+			if (struct.isSetRecordsAfter()) {
+				oprot.writeFieldBegin(RECORDS_AFTER_FIELD_DESC);
+				oprot.writeI64(struct.recordsAfter);
+				oprot.writeFieldEnd();
+			}
 			oprot.writeFieldStop();
 			oprot.writeStructEnd();
 		}
@@ -623,13 +1245,53 @@
 			if (struct.isSetLeaving()) {
 				optionals.set(1);
 			}
-			oprot.writeBitSet(optionals, 2);
+			if (struct.isSetCatalogue()) {
+				optionals.set(2);
+			}
+			if (struct.isSetRecords()) {
+				optionals.set(3);
+			}
+			if (struct.isSetDemand()) {
+				optionals.set(4);
+			}
+			if (struct.isSetMembers()) {
+				optionals.set(5);
+			}
+			if (struct.isSetRecordsAfter()) {
+				optionals.set(6);
+			}
+			oprot.writeBitSet(optionals, 7);
 			if (struct.isSetCatalogueRevision()) {
 				oprot.writeI64(struct.catalogueRevision);
 			}
 			if (struct.isSetLeaving()) {
 				oprot.writeBool(struct.leaving);
 			}
+			if (struct.isSetCatalogue()) {
+				struct.catalogue.write(oprot);
+			}
+			if (struct.isSetRecords()) {
+				{
+					oprot.writeI32(struct.records.size());
+					for (CatalogueItem _iter36 : struct.records) {
+						_iter36.write(oprot);
+					}
+				}
+			}
+			if (struct.isSetDemand()) {
+				struct.demand.write(oprot);
+			}
+			if (struct.isSetMembers()) {
+				{
+					oprot.writeI32(struct.members.size());
+					for (Identity _iter37 : struct.members) {
+						_iter37.write(oprot);
+					}
+				}
+			}
+			if (struct.isSetRecordsAfter()) {
+				oprot.writeI64(struct.recordsAfter);
+			}
 		}
 
 		@Override
@@ -639,7 +1301,7 @@
 			struct.receiver = new Identity();
 			struct.receiver.read(iprot);
 			struct.setReceiverIsSet(true);
-			java.util.BitSet incoming = iprot.readBitSet(2);
+			java.util.BitSet incoming = iprot.readBitSet(7);
 			if (incoming.get(0)) {
 				struct.catalogueRevision = iprot.readI64();
 				struct.setCatalogueRevisionIsSet(true);
@@ -648,6 +1310,50 @@
 				struct.leaving = iprot.readBool();
 				struct.setLeavingIsSet(true);
 			}
+			if (incoming.get(2)) {
+				struct.catalogue = new CatalogueState();
+				struct.catalogue.read(iprot);
+				struct.setCatalogueIsSet(true);
+			}
+			if (incoming.get(3)) {
+				{
+					org.apache.thrift.protocol.TList _list38 = iprot
+						.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+					struct.records = new java.util.ArrayList<CatalogueItem>(_list38.size);
+					@org.apache.thrift.annotation.Nullable
+					CatalogueItem _elem39;
+					for (int _i40 = 0; _i40 < _list38.size; ++_i40) {
+						_elem39 = new CatalogueItem();
+						_elem39.read(iprot);
+						struct.records.add(_elem39);
+					}
+				}
+				struct.setRecordsIsSet(true);
+			}
+			if (incoming.get(4)) {
+				struct.demand = new Demand();
+				struct.demand.read(iprot);
+				struct.setDemandIsSet(true);
+			}
+			if (incoming.get(5)) {
+				{
+					org.apache.thrift.protocol.TList _list41 = iprot
+						.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+					struct.members = new java.util.ArrayList<Identity>(_list41.size);
+					@org.apache.thrift.annotation.Nullable
+					Identity _elem42;
+					for (int _i43 = 0; _i43 < _list41.size; ++_i43) {
+						_elem42 = new Identity();
+						_elem42.read(iprot);
+						struct.members.add(_elem42);
+					}
+				}
+				struct.setMembersIsSet(true);
+			}
+			if (incoming.get(6)) {
+				struct.recordsAfter = iprot.readI64();
+				struct.setRecordsAfterIsSet(true);
+			}
 		}
 
 	}
--- a/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/Identity.java
+++ b/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/Identity.java
@@ -28,6 +28,9 @@
 	private static final org.apache.thrift.protocol.TField PEER_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField(
 			"peerAddress", org.apache.thrift.protocol.TType.STRING, (short) 4);
 
+	private static final org.apache.thrift.protocol.TField PEER_PORT_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"peerPort", org.apache.thrift.protocol.TType.I32, (short) 5);
+
 	private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new IdentityStandardSchemeFactory();
 
 	private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new IdentityTupleSchemeFactory();
@@ -40,6 +43,8 @@
 
 	private @org.apache.thrift.annotation.Nullable java.lang.String peerAddress; // optional
 
+	private int peerPort; // optional
+
 	/**
 	 * The set of fields this struct contains, along with convenience methods for finding
 	 * and manipulating them.
@@ -47,7 +52,7 @@
 	public enum _Fields implements org.apache.thrift.TFieldIdEnum {
 
 		HOST((short) 1, "host"), INCARNATION((short) 2, "incarnation"), FAILURE_DOMAIN((short) 3, "failureDomain"),
-		PEER_ADDRESS((short) 4, "peerAddress");
+		PEER_ADDRESS((short) 4, "peerAddress"), PEER_PORT((short) 5, "peerPort");
 
 		private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -71,6 +76,8 @@
 					return FAILURE_DOMAIN;
 				case 4: // PEER_ADDRESS
 					return PEER_ADDRESS;
+				case 5: // PEER_PORT
+					return PEER_PORT;
 				default:
 					return null;
 			}
@@ -119,9 +126,11 @@
 	// isset id assignments
 	private static final int __INCARNATION_ISSET_ID = 0;
 
+	private static final int __PEERPORT_ISSET_ID = 1;
+
 	private byte __isset_bitfield = 0;
 
-	private static final _Fields optionals[] = { _Fields.FAILURE_DOMAIN, _Fields.PEER_ADDRESS };
+	private static final _Fields optionals[] = { _Fields.FAILURE_DOMAIN, _Fields.PEER_ADDRESS, _Fields.PEER_PORT };
 
 	public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 	static {
@@ -142,6 +151,10 @@
 				new org.apache.thrift.meta_data.FieldMetaData("peerAddress",
 						org.apache.thrift.TFieldRequirementType.OPTIONAL,
 						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+		tmpMap.put(_Fields.PEER_PORT,
+				new org.apache.thrift.meta_data.FieldMetaData("peerPort",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
 		metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
 		org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Identity.class, metaDataMap);
 	}
@@ -171,6 +184,7 @@
 		if (other.isSetPeerAddress()) {
 			this.peerAddress = other.peerAddress;
 		}
+		this.peerPort = other.peerPort;
 	}
 
 	@Override
@@ -185,6 +199,8 @@
 		this.incarnation = 0;
 		this.failureDomain = null;
 		this.peerAddress = null;
+		setPeerPortIsSet(false);
+		this.peerPort = 0;
 	}
 
 	@org.apache.thrift.annotation.Nullable
@@ -296,6 +312,32 @@
 		}
 	}
 
+	public int getPeerPort() {
+		return this.peerPort;
+	}
+
+	public Identity setPeerPort(int peerPort) {
+		this.peerPort = peerPort;
+		setPeerPortIsSet(true);
+		return this;
+	}
+
+	public void unsetPeerPort() {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PEERPORT_ISSET_ID);
+	}
+
+	/**
+	 * Returns true if field peerPort is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetPeerPort() {
+		return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PEERPORT_ISSET_ID);
+	}
+
+	public void setPeerPortIsSet(boolean value) {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PEERPORT_ISSET_ID, value);
+	}
+
 	@Override
 	public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
 		switch (field) {
@@ -335,6 +377,15 @@
 				}
 				break;
 
+			case PEER_PORT:
+				if (value == null) {
+					unsetPeerPort();
+				}
+				else {
+					setPeerPort((java.lang.Integer) value);
+				}
+				break;
+
 		}
 	}
 
@@ -354,6 +405,9 @@
 			case PEER_ADDRESS:
 				return getPeerAddress();
 
+			case PEER_PORT:
+				return getPeerPort();
+
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -377,6 +431,8 @@
 				return isSetFailureDomain();
 			case PEER_ADDRESS:
 				return isSetPeerAddress();
+			case PEER_PORT:
+				return isSetPeerPort();
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -430,6 +486,15 @@
 				return false;
 		}
 
+		boolean this_present_peerPort = true && this.isSetPeerPort();
+		boolean that_present_peerPort = true && that.isSetPeerPort();
+		if (this_present_peerPort || that_present_peerPort) {
+			if (!(this_present_peerPort && that_present_peerPort))
+				return false;
+			if (this.peerPort != that.peerPort)
+				return false;
+		}
+
 		return true;
 	}
 
@@ -451,6 +516,10 @@
 		if (isSetPeerAddress())
 			hashCode = hashCode * 8191 + peerAddress.hashCode();
 
+		hashCode = hashCode * 8191 + ((isSetPeerPort()) ? 131071 : 524287);
+		if (isSetPeerPort())
+			hashCode = hashCode * 8191 + peerPort;
+
 		return hashCode;
 	}
 
@@ -502,6 +571,16 @@
 				return lastComparison;
 			}
 		}
+		lastComparison = java.lang.Boolean.compare(isSetPeerPort(), other.isSetPeerPort());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetPeerPort()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.peerPort, other.peerPort);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
 		return 0;
 	}
 
@@ -563,6 +642,13 @@
 			}
 			first = false;
 		}
+		if (isSetPeerPort()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("peerPort:");
+			sb.append(this.peerPort);
+			first = false;
+		}
 		sb.append(")");
 		return sb.toString();
 	}
@@ -659,6 +745,15 @@
 							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 						}
 						break;
+					case 5: // PEER_PORT
+						if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+							struct.peerPort = iprot.readI32();
+							struct.setPeerPortIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
 					default:
 						org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 				}
@@ -703,6 +798,11 @@
 					oprot.writeFieldEnd();
 				}
 			}
+			if (struct.isSetPeerPort()) {
+				oprot.writeFieldBegin(PEER_PORT_FIELD_DESC);
+				oprot.writeI32(struct.peerPort);
+				oprot.writeFieldEnd();
+			}
 			oprot.writeFieldStop();
 			oprot.writeStructEnd();
 		}
@@ -733,13 +833,19 @@
 			if (struct.isSetPeerAddress()) {
 				optionals.set(1);
 			}
-			oprot.writeBitSet(optionals, 2);
+			if (struct.isSetPeerPort()) {
+				optionals.set(2);
+			}
+			oprot.writeBitSet(optionals, 3);
 			if (struct.isSetFailureDomain()) {
 				oprot.writeString(struct.failureDomain);
 			}
 			if (struct.isSetPeerAddress()) {
 				oprot.writeString(struct.peerAddress);
 			}
+			if (struct.isSetPeerPort()) {
+				oprot.writeI32(struct.peerPort);
+			}
 		}
 
 		@Override
@@ -750,7 +856,7 @@
 			struct.setHostIsSet(true);
 			struct.incarnation = iprot.readI64();
 			struct.setIncarnationIsSet(true);
-			java.util.BitSet incoming = iprot.readBitSet(2);
+			java.util.BitSet incoming = iprot.readBitSet(3);
 			if (incoming.get(0)) {
 				struct.failureDomain = iprot.readString();
 				struct.setFailureDomainIsSet(true);
@@ -759,6 +865,10 @@
 				struct.peerAddress = iprot.readString();
 				struct.setPeerAddressIsSet(true);
 			}
+			if (incoming.get(2)) {
+				struct.peerPort = iprot.readI32();
+				struct.setPeerPortIsSet(true);
+			}
 		}
 
 	}
--- a/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/PeerService.java
+++ b/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/PeerService.java
@@ -11,7 +11,9 @@
 
 	public interface Iface {
 
-		public ExchangeResponse exchange(ExchangeRequest request) throws org.apache.thrift.TException;
+		public ExchangeResponse exchange(ExchangeRequest request) throws PeerRefusal, org.apache.thrift.TException;
+
+		public ClaimReport queryClaim(ClaimQuery query) throws PeerRefusal, org.apache.thrift.TException;
 
 	}
 
@@ -21,6 +23,9 @@
 				org.apache.thrift.async.AsyncMethodCallback<ExchangeResponse> resultHandler)
 				throws org.apache.thrift.TException;
 
+		public void queryClaim(ClaimQuery query, org.apache.thrift.async.AsyncMethodCallback<ClaimReport> resultHandler)
+				throws org.apache.thrift.TException;
+
 	}
 
 	public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -52,7 +57,7 @@
 		}
 
 		@Override
-		public ExchangeResponse exchange(ExchangeRequest request) throws org.apache.thrift.TException {
+		public ExchangeResponse exchange(ExchangeRequest request) throws PeerRefusal, org.apache.thrift.TException {
 			sendExchange(request);
 			return recvExchange();
 		}
@@ -63,16 +68,44 @@
 			sendBase("exchange", args);
 		}
 
-		public ExchangeResponse recvExchange() throws org.apache.thrift.TException {
+		public ExchangeResponse recvExchange() throws PeerRefusal, org.apache.thrift.TException {
 			exchange_result result = new exchange_result();
 			receiveBase(result, "exchange");
 			if (result.isSetSuccess()) {
 				return result.success;
 			}
+			if (result.refusal != null) {
+				throw result.refusal;
+			}
 			throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT,
 					"exchange failed: unknown result");
 		}
 
+		@Override
+		public ClaimReport queryClaim(ClaimQuery query) throws PeerRefusal, org.apache.thrift.TException {
+			sendQueryClaim(query);
+			return recvQueryClaim();
+		}
+
+		public void sendQueryClaim(ClaimQuery query) throws org.apache.thrift.TException {
+			queryClaim_args args = new queryClaim_args();
+			args.setQuery(query);
+			sendBase("queryClaim", args);
+		}
+
+		public ClaimReport recvQueryClaim() throws PeerRefusal, org.apache.thrift.TException {
+			queryClaim_result result = new queryClaim_result();
+			receiveBase(result, "queryClaim");
+			if (result.isSetSuccess()) {
+				return result.success;
+			}
+			if (result.refusal != null) {
+				throw result.refusal;
+			}
+			throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT,
+					"queryClaim failed: unknown result");
+		}
+
 	}
 
 	public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
@@ -137,7 +170,7 @@
 			}
 
 			@Override
-			public ExchangeResponse getResult() throws org.apache.thrift.TException {
+			public ExchangeResponse getResult() throws PeerRefusal, org.apache.thrift.TException {
 				if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
 					throw new java.lang.IllegalStateException("Method call not finished!");
 				}
@@ -149,6 +182,52 @@
 
 		}
 
+		@Override
+		public void queryClaim(ClaimQuery query, org.apache.thrift.async.AsyncMethodCallback<ClaimReport> resultHandler)
+				throws org.apache.thrift.TException {
+			checkReady();
+			queryClaim_call method_call = new queryClaim_call(query, resultHandler, this, ___protocolFactory,
+					___transport);
+			this.___currentMethod = method_call;
+			___manager.call(method_call);
+		}
+
+		public static class queryClaim_call extends org.apache.thrift.async.TAsyncMethodCall<ClaimReport> {
+
+			private ClaimQuery query;
+
+			public queryClaim_call(ClaimQuery query,
+					org.apache.thrift.async.AsyncMethodCallback<ClaimReport> resultHandler,
+					org.apache.thrift.async.TAsyncClient client,
+					org.apache.thrift.protocol.TProtocolFactory protocolFactory,
+					org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+				super(client, protocolFactory, transport, resultHandler, false);
+				this.query = query;
+			}
+
+			@Override
+			public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+				prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("queryClaim",
+						org.apache.thrift.protocol.TMessageType.CALL, 0));
+				queryClaim_args args = new queryClaim_args();
+				args.setQuery(query);
+				args.write(prot);
+				prot.writeMessageEnd();
+			}
+
+			@Override
+			public ClaimReport getResult() throws PeerRefusal, org.apache.thrift.TException {
+				if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+					throw new java.lang.IllegalStateException("Method call not finished!");
+				}
+				org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(
+						getFrameBuffer().array());
+				org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+				return (new Client(prot)).recvQueryClaim();
+			}
+
+		}
+
 	}
 
 	public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I>
@@ -169,6 +248,7 @@
 		private static <I extends Iface> java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(
 				java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> processMap) {
 			processMap.put("exchange", new exchange());
+			processMap.put("queryClaim", new queryClaim());
 			return processMap;
 		}
 
@@ -196,7 +276,47 @@
 			@Override
 			public exchange_result getResult(I iface, exchange_args args) throws org.apache.thrift.TException {
 				exchange_result result = new exchange_result();
-				result.success = iface.exchange(args.request);
+				try {
+					result.success = iface.exchange(args.request);
+				}
+				catch (PeerRefusal refusal) {
+					result.refusal = refusal;
+				}
+				return result;
+			}
+
+		}
+
+		public static class queryClaim<I extends Iface> extends org.apache.thrift.ProcessFunction<I, queryClaim_args> {
+
+			public queryClaim() {
+				super("queryClaim");
+			}
+
+			@Override
+			public queryClaim_args getEmptyArgsInstance() {
+				return new queryClaim_args();
+			}
+
+			@Override
+			protected boolean isOneway() {
+				return false;
+			}
+
+			@Override
+			protected boolean rethrowUnhandledExceptions() {
+				return false;
+			}
+
+			@Override
+			public queryClaim_result getResult(I iface, queryClaim_args args) throws org.apache.thrift.TException {
+				queryClaim_result result = new queryClaim_result();
+				try {
+					result.success = iface.queryClaim(args.query);
+				}
+				catch (PeerRefusal refusal) {
+					result.refusal = refusal;
+				}
 				return result;
 			}
 
@@ -222,6 +342,7 @@
 		private static <I extends AsyncIface> java.util.Map<java.lang.String, org.apache.thrift.AsyncProcessFunction<I, ? extends org.apache.thrift.TBase, ?>> getProcessMap(
 				java.util.Map<java.lang.String, org.apache.thrift.AsyncProcessFunction<I, ? extends org.apache.thrift.TBase, ?>> processMap) {
 			processMap.put("exchange", new exchange());
+			processMap.put("queryClaim", new queryClaim());
 			return processMap;
 		}
 
@@ -264,7 +385,12 @@
 						byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
 						org.apache.thrift.TSerializable msg;
 						exchange_result result = new exchange_result();
-						if (e instanceof org.apache.thrift.transport.TTransportException) {
+						if (e instanceof PeerRefusal) {
+							result.refusal = (PeerRefusal) e;
+							result.setRefusalIsSet(true);
+							msg = result;
+						}
+						else if (e instanceof org.apache.thrift.transport.TTransportException) {
 							_LOGGER.error("TTransportException inside handler", e);
 							fb.close();
 							return;
@@ -305,6 +431,91 @@
 
 		}
 
+		public static class queryClaim<I extends AsyncIface>
+				extends org.apache.thrift.AsyncProcessFunction<I, queryClaim_args, ClaimReport> {
+
+			public queryClaim() {
+				super("queryClaim");
+			}
+
+			@Override
+			public queryClaim_args getEmptyArgsInstance() {
+				return new queryClaim_args();
+			}
+
+			@Override
+			public org.apache.thrift.async.AsyncMethodCallback<ClaimReport> getResultHandler(
+					final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+				final org.apache.thrift.AsyncProcessFunction fcall = this;
+				return new org.apache.thrift.async.AsyncMethodCallback<ClaimReport>() {
+					@Override
+					public void onComplete(ClaimReport o) {
+						queryClaim_result result = new queryClaim_result();
+						result.success = o;
+						try {
+							fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY, seqid);
+						}
+						catch (org.apache.thrift.transport.TTransportException e) {
+							_LOGGER.error("TTransportException writing to internal frame buffer", e);
+							fb.close();
+						}
+						catch (java.lang.Exception e) {
+							_LOGGER.error("Exception writing to internal frame buffer", e);
+							onError(e);
+						}
+					}
+
+					@Override
+					public void onError(java.lang.Exception e) {
+						byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+						org.apache.thrift.TSerializable msg;
+						queryClaim_result result = new queryClaim_result();
+						if (e instanceof PeerRefusal) {
+							result.refusal = (PeerRefusal) e;
+							result.setRefusalIsSet(true);
+							msg = result;
+						}
+						else if (e instanceof org.apache.thrift.transport.TTransportException) {
+							_LOGGER.error("TTransportException inside handler", e);
+							fb.close();
+							return;
+						}
+						else if (e instanceof org.apache.thrift.TApplicationException) {
+							_LOGGER.error("TApplicationException inside handler", e);
+							msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+							msg = (org.apache.thrift.TApplicationException) e;
+						}
+						else {
+							_LOGGER.error("Exception inside handler", e);
+							msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+							msg = new org.apache.thrift.TApplicationException(
+									org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+						}
+						try {
+							fcall.sendResponse(fb, msg, msgType, seqid);
+						}
+						catch (java.lang.Exception ex) {
+							_LOGGER.error("Exception writing to internal frame buffer", ex);
+							fb.close();
+						}
+					}
+				};
+			}
+
+			@Override
+			protected boolean isOneway() {
+				return false;
+			}
+
+			@Override
+			public void start(I iface, queryClaim_args args,
+					org.apache.thrift.async.AsyncMethodCallback<ClaimReport> resultHandler)
+					throws org.apache.thrift.TException {
+				iface.queryClaim(args.query, resultHandler);
+			}
+
+		}
+
 	}
 
 	@SuppressWarnings({ "cast", "rawtypes", "serial", "unchecked", "unused" })
@@ -743,19 +954,24 @@
 		private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField(
 				"success", org.apache.thrift.protocol.TType.STRUCT, (short) 0);
 
+		private static final org.apache.thrift.protocol.TField REFUSAL_FIELD_DESC = new org.apache.thrift.protocol.TField(
+				"refusal", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
+
 		private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new exchange_resultStandardSchemeFactory();
 
 		private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new exchange_resultTupleSchemeFactory();
 
 		private @org.apache.thrift.annotation.Nullable ExchangeResponse success; // required
 
+		private @org.apache.thrift.annotation.Nullable PeerRefusal refusal; // required
+
 		/**
 		 * The set of fields this struct contains, along with convenience methods for
 		 * finding and manipulating them.
 		 */
 		public enum _Fields implements org.apache.thrift.TFieldIdEnum {
 
-			SUCCESS((short) 0, "success");
+			SUCCESS((short) 0, "success"), REFUSAL((short) 1, "refusal");
 
 			private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -773,6 +989,8 @@
 				switch (fieldId) {
 					case 0: // SUCCESS
 						return SUCCESS;
+					case 1: // REFUSAL
+						return REFUSAL;
 					default:
 						return null;
 				}
@@ -828,6 +1046,11 @@
 							org.apache.thrift.TFieldRequirementType.DEFAULT,
 							new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
 									ExchangeResponse.class)));
+			tmpMap.put(_Fields.REFUSAL,
+					new org.apache.thrift.meta_data.FieldMetaData("refusal",
+							org.apache.thrift.TFieldRequirementType.DEFAULT,
+							new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+									PeerRefusal.class)));
 			metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
 			org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(exchange_result.class, metaDataMap);
 		}
@@ -835,9 +1058,10 @@
 		public exchange_result() {
 		}
 
-		public exchange_result(ExchangeResponse success) {
+		public exchange_result(ExchangeResponse success, PeerRefusal refusal) {
 			this();
 			this.success = success;
+			this.refusal = refusal;
 		}
 
 		/**
@@ -847,6 +1071,9 @@
 			if (other.isSetSuccess()) {
 				this.success = new ExchangeResponse(other.success);
 			}
+			if (other.isSetRefusal()) {
+				this.refusal = new PeerRefusal(other.refusal);
+			}
 		}
 
 		@Override
@@ -857,6 +1084,7 @@
 		@Override
 		public void clear() {
 			this.success = null;
+			this.refusal = null;
 		}
 
 		@org.apache.thrift.annotation.Nullable
@@ -887,6 +1115,34 @@
 			}
 		}
 
+		@org.apache.thrift.annotation.Nullable
+		public PeerRefusal getRefusal() {
+			return this.refusal;
+		}
+
+		public exchange_result setRefusal(@org.apache.thrift.annotation.Nullable PeerRefusal refusal) {
+			this.refusal = refusal;
+			return this;
+		}
+
+		public void unsetRefusal() {
+			this.refusal = null;
+		}
+
+		/**
+		 * Returns true if field refusal is set (has been assigned a value) and false
+		 * otherwise
+		 */
+		public boolean isSetRefusal() {
+			return this.refusal != null;
+		}
+
+		public void setRefusalIsSet(boolean value) {
+			if (!value) {
+				this.refusal = null;
+			}
+		}
+
 		@Override
 		public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
 			switch (field) {
@@ -899,6 +1155,15 @@
 					}
 					break;
 
+				case REFUSAL:
+					if (value == null) {
+						unsetRefusal();
+					}
+					else {
+						setRefusal((PeerRefusal) value);
+					}
+					break;
+
 			}
 		}
 
@@ -909,6 +1174,9 @@
 				case SUCCESS:
 					return getSuccess();
 
+				case REFUSAL:
+					return getRefusal();
+
 			}
 			throw new java.lang.IllegalStateException();
 		}
@@ -926,6 +1194,8 @@
 			switch (field) {
 				case SUCCESS:
 					return isSetSuccess();
+				case REFUSAL:
+					return isSetRefusal();
 			}
 			throw new java.lang.IllegalStateException();
 		}
@@ -952,6 +1222,15 @@
 					return false;
 			}
 
+			boolean this_present_refusal = true && this.isSetRefusal();
+			boolean that_present_refusal = true && that.isSetRefusal();
+			if (this_present_refusal || that_present_refusal) {
+				if (!(this_present_refusal && that_present_refusal))
+					return false;
+				if (!this.refusal.equals(that.refusal))
+					return false;
+			}
+
 			return true;
 		}
 
@@ -963,6 +1242,10 @@
 			if (isSetSuccess())
 				hashCode = hashCode * 8191 + success.hashCode();
 
+			hashCode = hashCode * 8191 + ((isSetRefusal()) ? 131071 : 524287);
+			if (isSetRefusal())
+				hashCode = hashCode * 8191 + refusal.hashCode();
+
 			return hashCode;
 		}
 
@@ -984,6 +1267,16 @@
 					return lastComparison;
 				}
 			}
+			lastComparison = java.lang.Boolean.compare(isSetRefusal(), other.isSetRefusal());
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+			if (isSetRefusal()) {
+				lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.refusal, other.refusal);
+				if (lastComparison != 0) {
+					return lastComparison;
+				}
+			}
 			return 0;
 		}
 
@@ -1015,6 +1308,16 @@
 				sb.append(this.success);
 			}
 			first = false;
+			if (!first)
+				sb.append(", ");
+			sb.append("refusal:");
+			if (this.refusal == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.refusal);
+			}
+			first = false;
 			sb.append(")");
 			return sb.toString();
 		}
@@ -1081,6 +1384,16 @@
 								org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 							}
 							break;
+						case 1: // REFUSAL
+							if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+								struct.refusal = new PeerRefusal();
+								struct.refusal.read(iprot);
+								struct.setRefusalIsSet(true);
+							}
+							else {
+								org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+							}
+							break;
 						default:
 							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 					}
@@ -1104,6 +1417,11 @@
 					struct.success.write(oprot);
 					oprot.writeFieldEnd();
 				}
+				if (struct.refusal != null) {
+					oprot.writeFieldBegin(REFUSAL_FIELD_DESC);
+					struct.refusal.write(oprot);
+					oprot.writeFieldEnd();
+				}
 				oprot.writeFieldStop();
 				oprot.writeStructEnd();
 			}
@@ -1129,22 +1447,1004 @@
 				if (struct.isSetSuccess()) {
 					optionals.set(0);
 				}
-				oprot.writeBitSet(optionals, 1);
+				if (struct.isSetRefusal()) {
+					optionals.set(1);
+				}
+				oprot.writeBitSet(optionals, 2);
 				if (struct.isSetSuccess()) {
 					struct.success.write(oprot);
 				}
+				if (struct.isSetRefusal()) {
+					struct.refusal.write(oprot);
+				}
 			}
 
 			@Override
 			public void read(org.apache.thrift.protocol.TProtocol prot, exchange_result struct)
 					throws org.apache.thrift.TException {
 				org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-				java.util.BitSet incoming = iprot.readBitSet(1);
+				java.util.BitSet incoming = iprot.readBitSet(2);
 				if (incoming.get(0)) {
 					struct.success = new ExchangeResponse();
 					struct.success.read(iprot);
 					struct.setSuccessIsSet(true);
 				}
+				if (incoming.get(1)) {
+					struct.refusal = new PeerRefusal();
+					struct.refusal.read(iprot);
+					struct.setRefusalIsSet(true);
+				}
+			}
+
+		}
+
+		private static <S extends org.apache.thrift.scheme.IScheme> S scheme(
+				org.apache.thrift.protocol.TProtocol proto) {
+			return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY
+					: TUPLE_SCHEME_FACTORY)
+				.getScheme();
+		}
+
+	}
+
+	@SuppressWarnings({ "cast", "rawtypes", "serial", "unchecked", "unused" })
+	public static class queryClaim_args implements org.apache.thrift.TBase<queryClaim_args, queryClaim_args._Fields>,
+			java.io.Serializable, Cloneable, Comparable<queryClaim_args> {
+
+		private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct(
+				"queryClaim_args");
+
+		private static final org.apache.thrift.protocol.TField QUERY_FIELD_DESC = new org.apache.thrift.protocol.TField(
+				"query", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
+
+		private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new queryClaim_argsStandardSchemeFactory();
+
+		private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new queryClaim_argsTupleSchemeFactory();
+
+		private @org.apache.thrift.annotation.Nullable ClaimQuery query; // required
+
+		/**
+		 * The set of fields this struct contains, along with convenience methods for
+		 * finding and manipulating them.
+		 */
+		public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+
+			QUERY((short) 1, "query");
+
+			private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+			static {
+				for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+					byName.put(field.getFieldName(), field);
+				}
+			}
+
+			/**
+			 * Find the _Fields constant that matches fieldId, or null if its not found.
+			 */
+			@org.apache.thrift.annotation.Nullable
+			public static _Fields findByThriftId(int fieldId) {
+				switch (fieldId) {
+					case 1: // QUERY
+						return QUERY;
+					default:
+						return null;
+				}
+			}
+
+			/**
+			 * Find the _Fields constant that matches fieldId, throwing an exception if it
+			 * is not found.
+			 */
+			public static _Fields findByThriftIdOrThrow(int fieldId) {
+				_Fields fields = findByThriftId(fieldId);
+				if (fields == null)
+					throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+				return fields;
+			}
+
+			/**
+			 * Find the _Fields constant that matches name, or null if its not found.
+			 */
+			@org.apache.thrift.annotation.Nullable
+			public static _Fields findByName(java.lang.String name) {
+				return byName.get(name);
+			}
+
+			private final short _thriftId;
+
+			private final java.lang.String _fieldName;
+
+			_Fields(short thriftId, java.lang.String fieldName) {
+				_thriftId = thriftId;
+				_fieldName = fieldName;
+			}
+
+			@Override
+			public short getThriftFieldId() {
+				return _thriftId;
+			}
+
+			@Override
+			public java.lang.String getFieldName() {
+				return _fieldName;
+			}
+
+		}
+
+		// isset id assignments
+		public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+		static {
+			java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(
+					_Fields.class);
+			tmpMap.put(_Fields.QUERY,
+					new org.apache.thrift.meta_data.FieldMetaData("query",
+							org.apache.thrift.TFieldRequirementType.DEFAULT,
+							new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+									ClaimQuery.class)));
+			metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+			org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(queryClaim_args.class, metaDataMap);
+		}
+
+		public queryClaim_args() {
+		}
+
+		public queryClaim_args(ClaimQuery query) {
+			this();
+			this.query = query;
+		}
+
+		/**
+		 * Performs a deep copy on <i>other</i>.
+		 */
+		public queryClaim_args(queryClaim_args other) {
+			if (other.isSetQuery()) {
+				this.query = new ClaimQuery(other.query);
+			}
+		}
+
+		@Override
+		public queryClaim_args deepCopy() {
+			return new queryClaim_args(this);
+		}
+
+		@Override
+		public void clear() {
+			this.query = null;
+		}
+
+		@org.apache.thrift.annotation.Nullable
+		public ClaimQuery getQuery() {
+			return this.query;
+		}
+
+		public queryClaim_args setQuery(@org.apache.thrift.annotation.Nullable ClaimQuery query) {
+			this.query = query;
+			return this;
+		}
+
+		public void unsetQuery() {
+			this.query = null;
+		}
+
+		/**
+		 * Returns true if field query is set (has been assigned a value) and false
+		 * otherwise
+		 */
+		public boolean isSetQuery() {
+			return this.query != null;
+		}
+
+		public void setQueryIsSet(boolean value) {
+			if (!value) {
+				this.query = null;
+			}
+		}
+
+		@Override
+		public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+			switch (field) {
+				case QUERY:
+					if (value == null) {
+						unsetQuery();
+					}
+					else {
+						setQuery((ClaimQuery) value);
+					}
+					break;
+
+			}
+		}
+
+		@org.apache.thrift.annotation.Nullable
+		@Override
+		public java.lang.Object getFieldValue(_Fields field) {
+			switch (field) {
+				case QUERY:
+					return getQuery();
+
+			}
+			throw new java.lang.IllegalStateException();
+		}
+
+		/**
+		 * Returns true if field corresponding to fieldID is set (has been assigned a
+		 * value) and false otherwise
+		 */
+		@Override
+		public boolean isSet(_Fields field) {
+			if (field == null) {
+				throw new java.lang.IllegalArgumentException();
+			}
+
+			switch (field) {
+				case QUERY:
+					return isSetQuery();
+			}
+			throw new java.lang.IllegalStateException();
+		}
+
+		@Override
+		public boolean equals(java.lang.Object that) {
+			if (that instanceof queryClaim_args)
+				return this.equals((queryClaim_args) that);
+			return false;
+		}
+
+		public boolean equals(queryClaim_args that) {
+			if (that == null)
+				return false;
+			if (this == that)
+				return true;
+
+			boolean this_present_query = true && this.isSetQuery();
+			boolean that_present_query = true && that.isSetQuery();
+			if (this_present_query || that_present_query) {
+				if (!(this_present_query && that_present_query))
+					return false;
+				if (!this.query.equals(that.query))
+					return false;
+			}
+
+			return true;
+		}
+
+		@Override
+		public int hashCode() {
+			int hashCode = 1;
+
+			hashCode = hashCode * 8191 + ((isSetQuery()) ? 131071 : 524287);
+			if (isSetQuery())
+				hashCode = hashCode * 8191 + query.hashCode();
+
+			return hashCode;
+		}
+
+		@Override
+		public int compareTo(queryClaim_args other) {
+			if (!getClass().equals(other.getClass())) {
+				return getClass().getName().compareTo(other.getClass().getName());
+			}
+
+			int lastComparison = 0;
+
+			lastComparison = java.lang.Boolean.compare(isSetQuery(), other.isSetQuery());
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+			if (isSetQuery()) {
+				lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.query, other.query);
+				if (lastComparison != 0) {
+					return lastComparison;
+				}
+			}
+			return 0;
+		}
+
+		@org.apache.thrift.annotation.Nullable
+		@Override
+		public _Fields fieldForId(int fieldId) {
+			return _Fields.findByThriftId(fieldId);
+		}
+
+		@Override
+		public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+			scheme(iprot).read(iprot, this);
+		}
+
+		@Override
+		public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+			scheme(oprot).write(oprot, this);
+		}
+
+		@Override
+		public java.lang.String toString() {
+			java.lang.StringBuilder sb = new java.lang.StringBuilder("queryClaim_args(");
+			boolean first = true;
+
+			sb.append("query:");
+			if (this.query == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.query);
+			}
+			first = false;
+			sb.append(")");
+			return sb.toString();
+		}
+
+		public void validate() throws org.apache.thrift.TException {
+			// check for required fields
+			// check for sub-struct validity
+			if (query != null) {
+				query.validate();
+			}
+		}
+
+		private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+			try {
+				write(new org.apache.thrift.protocol.TCompactProtocol(
+						new org.apache.thrift.transport.TIOStreamTransport(out)));
+			}
+			catch (org.apache.thrift.TException te) {
+				throw new java.io.IOException(te);
+			}
+		}
+
+		private void readObject(java.io.ObjectInputStream in)
+				throws java.io.IOException, java.lang.ClassNotFoundException {
+			try {
+				read(new org.apache.thrift.protocol.TCompactProtocol(
+						new org.apache.thrift.transport.TIOStreamTransport(in)));
+			}
+			catch (org.apache.thrift.TException te) {
+				throw new java.io.IOException(te);
+			}
+		}
+
+		private static class queryClaim_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+
+			@Override
+			public queryClaim_argsStandardScheme getScheme() {
+				return new queryClaim_argsStandardScheme();
+			}
+
+		}
+
+		private static class queryClaim_argsStandardScheme
+				extends org.apache.thrift.scheme.StandardScheme<queryClaim_args> {
+
+			@Override
+			public void read(org.apache.thrift.protocol.TProtocol iprot, queryClaim_args struct)
+					throws org.apache.thrift.TException {
+				org.apache.thrift.protocol.TField schemeField;
+				iprot.readStructBegin();
+				while (true) {
+					schemeField = iprot.readFieldBegin();
+					if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
+						break;
+					}
+					switch (schemeField.id) {
+						case 1: // QUERY
+							if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+								struct.query = new ClaimQuery();
+								struct.query.read(iprot);
+								struct.setQueryIsSet(true);
+							}
+							else {
+								org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+							}
+							break;
+						default:
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+					}
+					iprot.readFieldEnd();
+				}
+				iprot.readStructEnd();
+
+				// check for required fields of primitive type, which can't be checked in
+				// the validate method
+				struct.validate();
+			}
+
+			@Override
+			public void write(org.apache.thrift.protocol.TProtocol oprot, queryClaim_args struct)
+					throws org.apache.thrift.TException {
+				struct.validate();
+
+				oprot.writeStructBegin(STRUCT_DESC);
+				if (struct.query != null) {
+					oprot.writeFieldBegin(QUERY_FIELD_DESC);
+					struct.query.write(oprot);
+					oprot.writeFieldEnd();
+				}
+				oprot.writeFieldStop();
+				oprot.writeStructEnd();
+			}
+
+		}
+
+		private static class queryClaim_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+
+			@Override
+			public queryClaim_argsTupleScheme getScheme() {
+				return new queryClaim_argsTupleScheme();
+			}
+
+		}
+
+		private static class queryClaim_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<queryClaim_args> {
+
+			@Override
+			public void write(org.apache.thrift.protocol.TProtocol prot, queryClaim_args struct)
+					throws org.apache.thrift.TException {
+				org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+				java.util.BitSet optionals = new java.util.BitSet();
+				if (struct.isSetQuery()) {
+					optionals.set(0);
+				}
+				oprot.writeBitSet(optionals, 1);
+				if (struct.isSetQuery()) {
+					struct.query.write(oprot);
+				}
+			}
+
+			@Override
+			public void read(org.apache.thrift.protocol.TProtocol prot, queryClaim_args struct)
+					throws org.apache.thrift.TException {
+				org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+				java.util.BitSet incoming = iprot.readBitSet(1);
+				if (incoming.get(0)) {
+					struct.query = new ClaimQuery();
+					struct.query.read(iprot);
+					struct.setQueryIsSet(true);
+				}
+			}
+
+		}
+
+		private static <S extends org.apache.thrift.scheme.IScheme> S scheme(
+				org.apache.thrift.protocol.TProtocol proto) {
+			return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY
+					: TUPLE_SCHEME_FACTORY)
+				.getScheme();
+		}
+
+	}
+
+	@SuppressWarnings({ "cast", "rawtypes", "serial", "unchecked", "unused" })
+	public static class queryClaim_result
+			implements org.apache.thrift.TBase<queryClaim_result, queryClaim_result._Fields>, java.io.Serializable,
+			Cloneable, Comparable<queryClaim_result> {
+
+		private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct(
+				"queryClaim_result");
+
+		private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField(
+				"success", org.apache.thrift.protocol.TType.STRUCT, (short) 0);
+
+		private static final org.apache.thrift.protocol.TField REFUSAL_FIELD_DESC = new org.apache.thrift.protocol.TField(
+				"refusal", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
+
+		private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new queryClaim_resultStandardSchemeFactory();
+
+		private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new queryClaim_resultTupleSchemeFactory();
+
+		private @org.apache.thrift.annotation.Nullable ClaimReport success; // required
+
+		private @org.apache.thrift.annotation.Nullable PeerRefusal refusal; // required
+
+		/**
+		 * The set of fields this struct contains, along with convenience methods for
+		 * finding and manipulating them.
+		 */
+		public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+
+			SUCCESS((short) 0, "success"), REFUSAL((short) 1, "refusal");
+
+			private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+			static {
+				for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+					byName.put(field.getFieldName(), field);
+				}
+			}
+
+			/**
+			 * Find the _Fields constant that matches fieldId, or null if its not found.
+			 */
+			@org.apache.thrift.annotation.Nullable
+			public static _Fields findByThriftId(int fieldId) {
+				switch (fieldId) {
+					case 0: // SUCCESS
+						return SUCCESS;
+					case 1: // REFUSAL
+						return REFUSAL;
+					default:
+						return null;
+				}
+			}
+
+			/**
+			 * Find the _Fields constant that matches fieldId, throwing an exception if it
+			 * is not found.
+			 */
+			public static _Fields findByThriftIdOrThrow(int fieldId) {
+				_Fields fields = findByThriftId(fieldId);
+				if (fields == null)
+					throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+				return fields;
+			}
+
+			/**
+			 * Find the _Fields constant that matches name, or null if its not found.
+			 */
+			@org.apache.thrift.annotation.Nullable
+			public static _Fields findByName(java.lang.String name) {
+				return byName.get(name);
+			}
+
+			private final short _thriftId;
+
+			private final java.lang.String _fieldName;
+
+			_Fields(short thriftId, java.lang.String fieldName) {
+				_thriftId = thriftId;
+				_fieldName = fieldName;
+			}
+
+			@Override
+			public short getThriftFieldId() {
+				return _thriftId;
+			}
+
+			@Override
+			public java.lang.String getFieldName() {
+				return _fieldName;
+			}
+
+		}
+
+		// isset id assignments
+		public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+		static {
+			java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(
+					_Fields.class);
+			tmpMap.put(_Fields.SUCCESS,
+					new org.apache.thrift.meta_data.FieldMetaData("success",
+							org.apache.thrift.TFieldRequirementType.DEFAULT,
+							new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+									ClaimReport.class)));
+			tmpMap.put(_Fields.REFUSAL,
+					new org.apache.thrift.meta_data.FieldMetaData("refusal",
+							org.apache.thrift.TFieldRequirementType.DEFAULT,
+							new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+									PeerRefusal.class)));
+			metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+			org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(queryClaim_result.class, metaDataMap);
+		}
+
+		public queryClaim_result() {
+		}
+
+		public queryClaim_result(ClaimReport success, PeerRefusal refusal) {
+			this();
+			this.success = success;
+			this.refusal = refusal;
+		}
+
+		/**
+		 * Performs a deep copy on <i>other</i>.
+		 */
+		public queryClaim_result(queryClaim_result other) {
+			if (other.isSetSuccess()) {
+				this.success = new ClaimReport(other.success);
+			}
+			if (other.isSetRefusal()) {
+				this.refusal = new PeerRefusal(other.refusal);
+			}
+		}
+
+		@Override
+		public queryClaim_result deepCopy() {
+			return new queryClaim_result(this);
+		}
+
+		@Override
+		public void clear() {
+			this.success = null;
+			this.refusal = null;
+		}
+
+		@org.apache.thrift.annotation.Nullable
+		public ClaimReport getSuccess() {
+			return this.success;
+		}
+
+		public queryClaim_result setSuccess(@org.apache.thrift.annotation.Nullable ClaimReport success) {
+			this.success = success;
+			return this;
+		}
+
+		public void unsetSuccess() {
+			this.success = null;
+		}
+
+		/**
+		 * Returns true if field success is set (has been assigned a value) and false
+		 * otherwise
+		 */
+		public boolean isSetSuccess() {
+			return this.success != null;
+		}
+
+		public void setSuccessIsSet(boolean value) {
+			if (!value) {
+				this.success = null;
+			}
+		}
+
+		@org.apache.thrift.annotation.Nullable
+		public PeerRefusal getRefusal() {
+			return this.refusal;
+		}
+
+		public queryClaim_result setRefusal(@org.apache.thrift.annotation.Nullable PeerRefusal refusal) {
+			this.refusal = refusal;
+			return this;
+		}
+
+		public void unsetRefusal() {
+			this.refusal = null;
+		}
+
+		/**
+		 * Returns true if field refusal is set (has been assigned a value) and false
+		 * otherwise
+		 */
+		public boolean isSetRefusal() {
+			return this.refusal != null;
+		}
+
+		public void setRefusalIsSet(boolean value) {
+			if (!value) {
+				this.refusal = null;
+			}
+		}
+
+		@Override
+		public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+			switch (field) {
+				case SUCCESS:
+					if (value == null) {
+						unsetSuccess();
+					}
+					else {
+						setSuccess((ClaimReport) value);
+					}
+					break;
+
+				case REFUSAL:
+					if (value == null) {
+						unsetRefusal();
+					}
+					else {
+						setRefusal((PeerRefusal) value);
+					}
+					break;
+
+			}
+		}
+
+		@org.apache.thrift.annotation.Nullable
+		@Override
+		public java.lang.Object getFieldValue(_Fields field) {
+			switch (field) {
+				case SUCCESS:
+					return getSuccess();
+
+				case REFUSAL:
+					return getRefusal();
+
+			}
+			throw new java.lang.IllegalStateException();
+		}
+
+		/**
+		 * Returns true if field corresponding to fieldID is set (has been assigned a
+		 * value) and false otherwise
+		 */
+		@Override
+		public boolean isSet(_Fields field) {
+			if (field == null) {
+				throw new java.lang.IllegalArgumentException();
+			}
+
+			switch (field) {
+				case SUCCESS:
+					return isSetSuccess();
+				case REFUSAL:
+					return isSetRefusal();
+			}
+			throw new java.lang.IllegalStateException();
+		}
+
+		@Override
+		public boolean equals(java.lang.Object that) {
+			if (that instanceof queryClaim_result)
+				return this.equals((queryClaim_result) that);
+			return false;
+		}
+
+		public boolean equals(queryClaim_result that) {
+			if (that == null)
+				return false;
+			if (this == that)
+				return true;
+
+			boolean this_present_success = true && this.isSetSuccess();
+			boolean that_present_success = true && that.isSetSuccess();
+			if (this_present_success || that_present_success) {
+				if (!(this_present_success && that_present_success))
+					return false;
+				if (!this.success.equals(that.success))
+					return false;
+			}
+
+			boolean this_present_refusal = true && this.isSetRefusal();
+			boolean that_present_refusal = true && that.isSetRefusal();
+			if (this_present_refusal || that_present_refusal) {
+				if (!(this_present_refusal && that_present_refusal))
+					return false;
+				if (!this.refusal.equals(that.refusal))
+					return false;
+			}
+
+			return true;
+		}
+
+		@Override
+		public int hashCode() {
+			int hashCode = 1;
+
+			hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+			if (isSetSuccess())
+				hashCode = hashCode * 8191 + success.hashCode();
+
+			hashCode = hashCode * 8191 + ((isSetRefusal()) ? 131071 : 524287);
+			if (isSetRefusal())
+				hashCode = hashCode * 8191 + refusal.hashCode();
+
+			return hashCode;
+		}
+
+		@Override
+		public int compareTo(queryClaim_result other) {
+			if (!getClass().equals(other.getClass())) {
+				return getClass().getName().compareTo(other.getClass().getName());
+			}
+
+			int lastComparison = 0;
+
+			lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+			if (isSetSuccess()) {
+				lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+				if (lastComparison != 0) {
+					return lastComparison;
+				}
+			}
+			lastComparison = java.lang.Boolean.compare(isSetRefusal(), other.isSetRefusal());
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+			if (isSetRefusal()) {
+				lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.refusal, other.refusal);
+				if (lastComparison != 0) {
+					return lastComparison;
+				}
+			}
+			return 0;
+		}
+
+		@org.apache.thrift.annotation.Nullable
+		@Override
+		public _Fields fieldForId(int fieldId) {
+			return _Fields.findByThriftId(fieldId);
+		}
+
+		@Override
+		public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+			scheme(iprot).read(iprot, this);
+		}
+
+		public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+			scheme(oprot).write(oprot, this);
+		}
+
+		@Override
+		public java.lang.String toString() {
+			java.lang.StringBuilder sb = new java.lang.StringBuilder("queryClaim_result(");
+			boolean first = true;
+
+			sb.append("success:");
+			if (this.success == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.success);
+			}
+			first = false;
+			if (!first)
+				sb.append(", ");
+			sb.append("refusal:");
+			if (this.refusal == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.refusal);
+			}
+			first = false;
+			sb.append(")");
+			return sb.toString();
+		}
+
+		public void validate() throws org.apache.thrift.TException {
+			// check for required fields
+			// check for sub-struct validity
+			if (success != null) {
+				success.validate();
+			}
+		}
+
+		private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+			try {
+				write(new org.apache.thrift.protocol.TCompactProtocol(
+						new org.apache.thrift.transport.TIOStreamTransport(out)));
+			}
+			catch (org.apache.thrift.TException te) {
+				throw new java.io.IOException(te);
+			}
+		}
+
+		private void readObject(java.io.ObjectInputStream in)
+				throws java.io.IOException, java.lang.ClassNotFoundException {
+			try {
+				read(new org.apache.thrift.protocol.TCompactProtocol(
+						new org.apache.thrift.transport.TIOStreamTransport(in)));
+			}
+			catch (org.apache.thrift.TException te) {
+				throw new java.io.IOException(te);
+			}
+		}
+
+		private static class queryClaim_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+
+			@Override
+			public queryClaim_resultStandardScheme getScheme() {
+				return new queryClaim_resultStandardScheme();
+			}
+
+		}
+
+		private static class queryClaim_resultStandardScheme
+				extends org.apache.thrift.scheme.StandardScheme<queryClaim_result> {
+
+			@Override
+			public void read(org.apache.thrift.protocol.TProtocol iprot, queryClaim_result struct)
+					throws org.apache.thrift.TException {
+				org.apache.thrift.protocol.TField schemeField;
+				iprot.readStructBegin();
+				while (true) {
+					schemeField = iprot.readFieldBegin();
+					if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
+						break;
+					}
+					switch (schemeField.id) {
+						case 0: // SUCCESS
+							if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+								struct.success = new ClaimReport();
+								struct.success.read(iprot);
+								struct.setSuccessIsSet(true);
+							}
+							else {
+								org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+							}
+							break;
+						case 1: // REFUSAL
+							if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+								struct.refusal = new PeerRefusal();
+								struct.refusal.read(iprot);
+								struct.setRefusalIsSet(true);
+							}
+							else {
+								org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+							}
+							break;
+						default:
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+					}
+					iprot.readFieldEnd();
+				}
+				iprot.readStructEnd();
+
+				// check for required fields of primitive type, which can't be checked in
+				// the validate method
+				struct.validate();
+			}
+
+			@Override
+			public void write(org.apache.thrift.protocol.TProtocol oprot, queryClaim_result struct)
+					throws org.apache.thrift.TException {
+				struct.validate();
+
+				oprot.writeStructBegin(STRUCT_DESC);
+				if (struct.success != null) {
+					oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+					struct.success.write(oprot);
+					oprot.writeFieldEnd();
+				}
+				if (struct.refusal != null) {
+					oprot.writeFieldBegin(REFUSAL_FIELD_DESC);
+					struct.refusal.write(oprot);
+					oprot.writeFieldEnd();
+				}
+				oprot.writeFieldStop();
+				oprot.writeStructEnd();
+			}
+
+		}
+
+		private static class queryClaim_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+
+			@Override
+			public queryClaim_resultTupleScheme getScheme() {
+				return new queryClaim_resultTupleScheme();
+			}
+
+		}
+
+		private static class queryClaim_resultTupleScheme
+				extends org.apache.thrift.scheme.TupleScheme<queryClaim_result> {
+
+			@Override
+			public void write(org.apache.thrift.protocol.TProtocol prot, queryClaim_result struct)
+					throws org.apache.thrift.TException {
+				org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+				java.util.BitSet optionals = new java.util.BitSet();
+				if (struct.isSetSuccess()) {
+					optionals.set(0);
+				}
+				if (struct.isSetRefusal()) {
+					optionals.set(1);
+				}
+				oprot.writeBitSet(optionals, 2);
+				if (struct.isSetSuccess()) {
+					struct.success.write(oprot);
+				}
+				if (struct.isSetRefusal()) {
+					struct.refusal.write(oprot);
+				}
+			}
+
+			@Override
+			public void read(org.apache.thrift.protocol.TProtocol prot, queryClaim_result struct)
+					throws org.apache.thrift.TException {
+				org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+				java.util.BitSet incoming = iprot.readBitSet(2);
+				if (incoming.get(0)) {
+					struct.success = new ClaimReport();
+					struct.success.read(iprot);
+					struct.setSuccessIsSet(true);
+				}
+				if (incoming.get(1)) {
+					struct.refusal = new PeerRefusal();
+					struct.refusal.read(iprot);
+					struct.setRefusalIsSet(true);
+				}
 			}
 
 		}
--- a/org.cyclamenstall.wire/src/main/thrift/peer.thrift
+++ b/org.cyclamenstall.wire/src/main/thrift/peer.thrift
@@ -8,6 +8,25 @@
   2: required i64 incarnation
   3: optional string failureDomain
   4: optional string peerAddress
+  5: optional i32 peerPort
+}
+
+/** Holds one catalogue record, or its tombstone, as JSON. */
+struct CatalogueItem {
+  1: required i64 revision
+  2: required binary json
+}
+
+/** Reports what a daemon would use of each fleet-wide limit. */
+struct Demand {
+  1: optional map<string, double> demandByLimit
+  2: optional map<string, i32> inFlightByUpstream
+}
+
+/** Sums up the catalogue of a daemon; left out while it has none. */
+struct CatalogueState {
+  1: required i64 revision
+  2: required i64 digest
 }
 
 /** Sums up the state of a daemon once per exchange. */
@@ -16,6 +35,12 @@
   2: optional string secret
   3: optional i64 catalogueRevision
   4: optional bool leaving
+  5: optional CatalogueState catalogue
+  6: optional list<CatalogueItem> records
+  7: optional Demand demand
+  8: optional bool newcomer
+  // The records are all those after this revision; a receiver below it must not take them.
+  9: optional i64 recordsAfter
 }
 
 /** Answers an exchange with the state of the receiver. */
@@ -23,8 +48,51 @@
   1: required Identity receiver
   2: optional i64 catalogueRevision
   3: optional bool leaving
+  4: optional CatalogueState catalogue
+  5: optional list<CatalogueItem> records
+  6: optional Demand demand
+  7: optional list<Identity> members
+  8: optional i64 recordsAfter
+}
+
+/** Tells what the claimant knows of a claim. */
+enum ClaimState {
+  UNKNOWN = 0
+  IN_PROGRESS = 1
+  ABANDONED = 2
+  COMPLETED = 3
+}
+
+/** Asks a daemon what became of an attempt that it claimed. */
+struct ClaimQuery {
+  1: required Identity sender
+  2: optional string secret
+  3: required i64 claimantIncarnation
+  4: required string attempt
+}
+
+/** Answers a claim query. */
+struct ClaimReport {
+  1: required i64 claimantIncarnation
+  2: optional ClaimState state
+  3: optional i32 answerStatus
+  4: optional string answerContentType
+  5: optional binary answerBody
+}
+
+/** Lists why a daemon refuses a message. */
+enum RefusalReason {
+  UNAUTHORIZED = 1
+  OLDER_INCARNATION = 2
+  SAME_HOST = 3
+}
+
+/** Refuses a message. */
+exception PeerRefusal {
+  1: optional RefusalReason reason
 }
 
 service PeerService {
-  ExchangeResponse exchange(1: ExchangeRequest request)
+  ExchangeResponse exchange(1: ExchangeRequest request) throws (1: PeerRefusal refusal)
+  ClaimReport queryClaim(1: ClaimQuery query) throws (1: PeerRefusal refusal)
 }
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerMessages.java
@@ -0,0 +1,164 @@
+package org.cyclamenstall.internal.peers;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.cyclamenstall.catalogue.CatalogueRecord;
+import org.cyclamenstall.claims.ClaimStatus;
+import org.cyclamenstall.claims.ClaimantAnswer;
+import org.cyclamenstall.claims.StoredAnswer;
+import org.cyclamenstall.policy.DemandReport;
+import org.cyclamenstall.wire.CatalogueItem;
+import org.cyclamenstall.wire.ClaimReport;
+import org.cyclamenstall.wire.ClaimState;
+import org.cyclamenstall.wire.Demand;
+import org.cyclamenstall.wire.Identity;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Converts between the types of the daemon and the messages among daemons. Unknown fields
+ * of a newer version are ignored. Thread-safe.
+ */
+public final class PeerMessages {
+
+	private static final ObjectMapper mapper = JsonMapper.builder()
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.build();
+
+	private PeerMessages() {
+	}
+
+	/**
+	 * Converts an identity.
+	 * @param identity the identity
+	 * @return the message
+	 */
+	public static Identity toWire(PeerIdentity identity) {
+		Identity message = new Identity(identity.host(), identity.incarnation());
+		message.setFailureDomain(identity.failureDomain());
+		PeerEndpoint endpoint = identity.endpoint();
+		if (endpoint != null) {
+			message.setPeerAddress(endpoint.address());
+			message.setPeerPort(endpoint.port());
+		}
+		return message;
+	}
+
+	/**
+	 * Converts an identity.
+	 * @param message the message
+	 * @return the identity
+	 */
+	public static PeerIdentity fromWire(Identity message) {
+		PeerEndpoint endpoint = (message.isSetPeerAddress() && message.isSetPeerPort())
+				? new PeerEndpoint(message.getPeerAddress(), message.getPeerPort()) : null;
+		String domain = message.isSetFailureDomain() ? message.getFailureDomain() : "";
+		return new PeerIdentity(message.getHost(), message.getIncarnation(), domain, endpoint);
+	}
+
+	/**
+	 * Converts catalogue records.
+	 * @param records the records
+	 * @return the messages
+	 */
+	public static List<CatalogueItem> toWire(Collection<CatalogueRecord> records) {
+		List<CatalogueItem> items = new ArrayList<>(records.size());
+		try {
+			for (CatalogueRecord record : records) {
+				items.add(new CatalogueItem(record.revision(), ByteBuffer.wrap(mapper.writeValueAsBytes(record))));
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return items;
+	}
+
+	/**
+	 * Converts catalogue records.
+	 * @param items the messages
+	 * @return the records
+	 * @throws UncheckedIOException if a record is malformed
+	 */
+	public static List<CatalogueRecord> parse(List<CatalogueItem> items) {
+		List<CatalogueRecord> records = new ArrayList<>(items.size());
+		try {
+			for (CatalogueItem item : items) {
+				records.add(mapper.readValue(item.getJson(), CatalogueRecord.class));
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return records;
+	}
+
+	/**
+	 * Converts a demand report.
+	 * @param report the report
+	 * @return the message
+	 */
+	public static Demand toWire(DemandReport report) {
+		Demand message = new Demand();
+		message.setDemandByLimit(report.demandByLimit());
+		message.setInFlightByUpstream(report.inFlightByUpstream());
+		return message;
+	}
+
+	/**
+	 * Converts a demand report.
+	 * @param message the message
+	 * @return the report
+	 */
+	public static DemandReport fromWire(Demand message) {
+		Map<String, Double> limits = message.isSetDemandByLimit() ? message.getDemandByLimit() : Map.of();
+		Map<String, Integer> upstreams = message.isSetInFlightByUpstream() ? message.getInFlightByUpstream() : Map.of();
+		return new DemandReport(Map.copyOf(limits), Map.copyOf(upstreams));
+	}
+
+	/**
+	 * Converts what is known of an attempt.
+	 * @param incarnation the incarnation of the claimant
+	 * @param answer what it knows
+	 * @return the message
+	 */
+	public static ClaimReport toWire(long incarnation, ClaimantAnswer answer) {
+		ClaimReport message = new ClaimReport(incarnation);
+		message.setState(ClaimState.valueOf(answer.status().name()));
+		StoredAnswer stored = answer.answer();
+		if (stored != null) {
+			message.setAnswerStatus(stored.status());
+			message.setAnswerContentType(stored.contentType());
+			message.setAnswerBody(stored.body());
+		}
+		return message;
+	}
+
+	/**
+	 * Converts what is known of an attempt. A state of a newer version counts as unknown.
+	 * @param message the message
+	 * @return what the claimant knows
+	 */
+	public static ClaimantAnswer fromWire(ClaimReport message) {
+		ClaimState state = message.getState();
+		ClaimStatus status = (state != null) ? ClaimStatus.valueOf(state.name()) : ClaimStatus.UNKNOWN;
+		return new ClaimantAnswer(status, (status == ClaimStatus.COMPLETED) ? storedAnswer(message) : null);
+	}
+
+	private static @Nullable StoredAnswer storedAnswer(ClaimReport message) {
+		if (!message.isSetAnswerStatus() || !message.isSetAnswerBody()) {
+			return null;
+		}
+		String contentType = message.isSetAnswerContentType() ? message.getAnswerContentType() : "";
+		return new StoredAnswer(message.getAnswerStatus(), contentType, message.getAnswerBody());
+	}
+
+}
