--- /dev/null
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/CallerClient.java
@@ -0,0 +1,148 @@
+package org.cyclamenstall.junit;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.cyclamenstall.lib.HeaderNames;
+
+/**
+ * Calls a daemon as a client account does. Thread-safe.
+ */
+public final class CallerClient {
+
+	private static final HttpClient CLIENT = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(Duration.ofSeconds(10))
+		.build();
+
+	private static final Duration ANSWER_LIMIT = Duration.ofSeconds(120);
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final InetSocketAddress daemon;
+
+	private final String apiKey;
+
+	/**
+	 * Creates a client.
+	 * @param daemon the callers' address of a daemon
+	 * @param apiKey the API key
+	 */
+	public CallerClient(InetSocketAddress daemon, String apiKey) {
+		this.daemon = daemon;
+		this.apiKey = apiKey;
+	}
+
+	/**
+	 * Starts a chat completion.
+	 * @param model the model
+	 * @param text the text of the one message
+	 * @param maximumTokens the number of tokens to generate
+	 * @param form whether the answer is streamed
+	 * @return the running call
+	 */
+	public CallerCall startChat(String model, String text, int maximumTokens, ChatForm form) {
+		Map<String, Object> body = Map.of("model", model, "messages", List.of(Map.of("role", "user", "content", text)),
+				"stream", form == ChatForm.STREAMED, "max_tokens", maximumTokens);
+		return start(request("/v1/chat/completions").header("Content-Type", "application/json")
+			.POST(HttpRequest.BodyPublishers.ofString(json(body))));
+	}
+
+	/**
+	 * Makes a chat completion and waits for the whole answer.
+	 * @param model the model
+	 * @param text the text of the one message
+	 * @param maximumTokens the number of tokens to generate
+	 * @param form whether the answer is streamed
+	 * @return the answer
+	 */
+	public CallerAnswer chat(String model, String text, int maximumTokens, ChatForm form) {
+		return startChat(model, text, maximumTokens, form).answer();
+	}
+
+	/**
+	 * Starts a named, non-idempotent request to a plain service.
+	 * @param path the path
+	 * @param idempotencyKey the name of the request
+	 * @param body the body
+	 * @return the running call
+	 */
+	public CallerCall startBooking(String path, String idempotencyKey, String body) {
+		return start(request(path).header("Content-Type", "application/json")
+			.header(HeaderNames.IDEMPOTENCY_KEY, idempotencyKey)
+			.POST(HttpRequest.BodyPublishers.ofString(body)));
+	}
+
+	/**
+	 * Makes a named, non-idempotent request to a plain service.
+	 * @param path the path
+	 * @param idempotencyKey the name of the request
+	 * @param body the body
+	 * @return the answer
+	 */
+	public CallerAnswer book(String path, String idempotencyKey, String body) {
+		return startBooking(path, idempotencyKey, body).answer();
+	}
+
+	/**
+	 * Makes an idempotent request to a plain service.
+	 * @param path the path
+	 * @return the answer
+	 */
+	public CallerAnswer lookUp(String path) {
+		return startLookUp(path).answer();
+	}
+
+	/**
+	 * Starts an idempotent request to a plain service.
+	 * @param path the path
+	 * @return the running call
+	 */
+	public CallerCall startLookUp(String path) {
+		return start(request(path).GET());
+	}
+
+	/**
+	 * Makes a request with any body.
+	 * @param method the HTTP method
+	 * @param path the path
+	 * @param body the body
+	 * @return the answer
+	 */
+	public CallerAnswer send(String method, String path, String body) {
+		return start(request(path).method(method,
+				HttpRequest.BodyPublishers.ofByteArray(body.getBytes(StandardCharsets.UTF_8))))
+			.answer();
+	}
+
+	private CallerCall start(HttpRequest.Builder request) {
+		return new CallerCall(CLIENT, request.build());
+	}
+
+	private HttpRequest.Builder request(String path) {
+		URI uri = URI.create("http://" + this.daemon.getHostString() + ":" + this.daemon.getPort() + path);
+		return HttpRequest.newBuilder(uri)
+			.timeout(ANSWER_LIMIT)
+			.header(HeaderNames.AUTHORIZATION, "Bearer " + this.apiKey);
+	}
+
+	private static String json(Object value) {
+		try {
+			return MAPPER.writeValueAsString(value);
+		}
+		catch (JsonProcessingException ex) {
+			throw new UncheckedIOException(new IOException(ex));
+		}
+	}
+
+}
