--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DaemonInstance.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DaemonInstance.java
@@ -146,6 +146,13 @@
 		return this.operators.get("/v1/status").json().path("catalogue_revision").asLong(0);
 	}
 
+	/**
+	 * Ends every fault of the proxies around it.
+	 */
+	public void clearFaults() {
+		this.proxies.pass();
+	}
+
 	@Override
 	public void close() {
 		this.process.close();
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DaemonProxies.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DaemonProxies.java
@@ -13,6 +13,13 @@
 record DaemonProxies(FaultProxy store, FaultProxy hostList, FaultProxy peers,
 		FaultProxy callers) implements AutoCloseable {
 
+	void pass() {
+		this.store.pass();
+		this.hostList.pass();
+		this.peers.pass();
+		this.callers.pass();
+	}
+
 	@Override
 	public void close() {
 		this.store.close();
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/OperatorClient.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/OperatorClient.java
@@ -99,5 +99,4 @@
 		}
 	}
 
-
 }
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/faultproxy/FaultProxyTests.java
@@ -0,0 +1,109 @@
+package org.cyclamenstall.test.faultproxy;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import org.cyclamenstall.junit.CallerAnswer;
+import org.cyclamenstall.junit.CallerCall;
+import org.cyclamenstall.junit.CallerClient;
+import org.cyclamenstall.standin.faultproxy.Direction;
+import org.cyclamenstall.standin.faultproxy.FaultAction;
+import org.cyclamenstall.standin.faultproxy.FaultProxy;
+import org.cyclamenstall.standin.faultproxy.FaultRule;
+import org.cyclamenstall.standin.service.ServiceStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link FaultProxy}.
+ */
+class FaultProxyTests {
+
+	private static final Duration LIMIT = Duration.ofSeconds(60);
+
+	private final ServiceStandin service = new ServiceStandin("service", "127.0.0.1", 0);
+
+	private final FaultProxy proxy = new FaultProxy("127.0.0.1",
+			new InetSocketAddress(this.service.address(), this.service.port()));
+
+	private final CallerClient client = new CallerClient(this.proxy.address(), "key");
+
+	@AfterEach
+	void close() {
+		this.proxy.close();
+		this.service.close();
+	}
+
+	@Nested
+	class WithoutRule {
+
+		@Test
+		void relaysRequestAndAnswer() {
+			assertThat(FaultProxyTests.this.client.book("/book", "one", "{}").status(), is(200));
+		}
+
+	}
+
+	@Nested
+	class WhenAnAnswerIsLost {
+
+		@Test
+		void theRequestWasExecutedAndNoAnswerComes() {
+			FaultProxyTests.this.proxy
+				.add(FaultRule.on(Direction.ANSWER, FaultAction.RESET).matching("two").times(1).build());
+			CallerAnswer answer = FaultProxyTests.this.client.book("/book", "two", "{}");
+			assertThat(answer.failure().isPresent(), is(true));
+			assertThat(FaultProxyTests.this.service.executionsOfKey("two"), is(1L));
+		}
+
+	}
+
+	@Nested
+	class WhenAnAnswerIsCut {
+
+		@Test
+		void onlyItsFirstBytesCome() {
+			FaultProxyTests.this.proxy.add(FaultRule.on(Direction.ANSWER, FaultAction.CLOSE).afterBytes(200).build());
+			CallerAnswer answer = FaultProxyTests.this.client.book("/book", "three", "{}");
+			assertThat(answer.status(), is(200));
+			assertThat(answer.failure().isPresent(), is(true));
+		}
+
+	}
+
+	@Nested
+	class WhenARequestIsHeld {
+
+		@Test
+		void itIsExecutedOnlyAfterItsRelease() {
+			FaultRule rule = FaultProxyTests.this.proxy
+				.add(FaultRule.on(Direction.REQUEST, FaultAction.HOLD).matching("four").build());
+			CallerCall call = FaultProxyTests.this.client.startBooking("/book", "four", "{}");
+			assertThat(rule.awaitHit(LIMIT), is(true));
+			assertThat(FaultProxyTests.this.service.executionsOfKey("four"), is(0L));
+			rule.release();
+			assertThat(call.answer().status(), is(200));
+			assertThat(FaultProxyTests.this.service.executionsOfKey("four"), is(1L));
+		}
+
+	}
+
+	@Nested
+	class WhenCut {
+
+		@Test
+		void noConnectionWorksUntilItPassesAgain() {
+			FaultProxyTests.this.proxy.cut();
+			assertThat(FaultProxyTests.this.client.book("/book", "five", "{}").failure().isPresent(), is(true));
+			FaultProxyTests.this.proxy.pass();
+			assertThat(FaultProxyTests.this.client.book("/book", "six", "{}").status(), is(200));
+			assertThat(FaultProxyTests.this.service.executionsOfKey("five"), is(0L));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/faultproxy/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of the fault proxy.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.faultproxy;
