--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/hosts/ConsulHostList.java
@@ -0,0 +1,253 @@
+package org.cyclamenstall.internal.hosts;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.hosts.HostList;
+import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.internal.http.BlockingHttpClient;
+import org.cyclamenstall.internal.http.HttpAnswer;
+import org.cyclamenstall.internal.http.HttpAnswerState;
+import org.cyclamenstall.internal.http.HttpCall;
+import org.cyclamenstall.kernel.Service;
+import org.cyclamenstall.settings.HostListSettings;
+
+/**
+ * Reads the platform's list of hosts, one waiting read at a time for each watched
+ * service. The last list of a service stands while no well-formed answer comes and also
+ * when an answer lists no host at all, because an emptied list is more likely a fault of
+ * the platform than the end of a service; both are counted. Listeners are called on the
+ * reading threads, one snapshot at a time. Thread-safe.
+ */
+public final class ConsulHostList implements HostList, Service {
+
+	private static final Logger logger = LogManager.getLogger(ConsulHostList.class);
+
+	private static final Duration WAIT = Duration.ofSeconds(2);
+
+	private static final int OK = 200;
+
+	private static final TypeReference<List<ConsulHost>> HOSTS = new TypeReference<>() {
+	};
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final Map<String, ServiceReader> readers = new HashMap<>();
+
+	private final List<Consumer<HostSnapshot>> listeners = new CopyOnWriteArrayList<>();
+
+	private final HostListSettings settings;
+
+	private final BlockingHttpClient client;
+
+	private final UniformRandomProvider random;
+
+	private final Counter reads;
+
+	private volatile HostSnapshot snapshot = HostSnapshot.EMPTY;
+
+	private boolean started;
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates a host list that watches nothing yet.
+	 * @param settings the settings of the host list
+	 * @param metrics where the counters are registered
+	 * @param random the source of jitter
+	 */
+	public ConsulHostList(HostListSettings settings, PrometheusRegistry metrics, UniformRandomProvider random) {
+		this.settings = settings;
+		this.random = random;
+		this.client = new BlockingHttpClient("host-list", new InetSocketAddress(settings.address(), settings.port()));
+		this.reads = Counter.builder()
+			.name("cyclamenstall_host_list_reads_total")
+			.help("Reads of the host list by service and result")
+			.labelNames("service", "result")
+			.register(metrics);
+		GaugeWithCallback.builder()
+			.name("cyclamenstall_host_list_age_seconds")
+			.help("Time since the list of a service was last read")
+			.labelNames("service")
+			.callback((callback) -> ages().forEach((service, age) -> callback.call(age, service)))
+			.register(metrics);
+	}
+
+	@Override
+	public HostSnapshot current() {
+		return this.snapshot;
+	}
+
+	@Override
+	public void addListener(Consumer<HostSnapshot> listener) {
+		this.listeners.add(listener);
+	}
+
+	@Override
+	public synchronized void watch(String service) {
+		if (this.readers.containsKey(service)) {
+			return;
+		}
+		ServiceReader reader = new ServiceReader(service);
+		this.readers.put(service, reader);
+		if (this.started) {
+			reader.thread.start();
+		}
+	}
+
+	@Override
+	public synchronized void start() {
+		this.started = true;
+		this.readers.values().forEach((reader) -> reader.thread.start());
+	}
+
+	@Override
+	public synchronized void close() {
+		this.closed = true;
+		this.readers.values().forEach((reader) -> reader.thread.interrupt());
+		this.client.close();
+	}
+
+	private synchronized Map<String, Double> ages() {
+		Map<String, Double> ages = new HashMap<>();
+		this.readers.forEach((service, reader) -> ages.put(service, (System.nanoTime() - reader.readAt) / 1e9));
+		return ages;
+	}
+
+	private synchronized long jitteredMillis(long millis) {
+		return millis / 2 + this.random.nextLong(millis);
+	}
+
+	private synchronized void publish(String service, List<ListedHost> hosts) {
+		if (this.snapshot.hosts(service).equals(hosts)) {
+			return;
+		}
+		Map<String, List<ListedHost>> changed = new HashMap<>(this.snapshot.hostsByService());
+		changed.put(service, List.copyOf(hosts));
+		this.snapshot = new HostSnapshot(Map.copyOf(changed));
+		for (Consumer<HostSnapshot> listener : this.listeners) {
+			listener.accept(this.snapshot);
+		}
+	}
+
+	/** Reads one service on a thread of its own. */
+	private final class ServiceReader implements Runnable {
+
+		private final String service;
+
+		private final Thread thread;
+
+		private volatile long readAt = System.nanoTime();
+
+		private long index;
+
+		ServiceReader(String service) {
+			this.service = service;
+			this.thread = new Thread(this, "host-list-" + service);
+			this.thread.setDaemon(true);
+		}
+
+		@Override
+		public void run() {
+			while (!ConsulHostList.this.closed) {
+				long startedAt = System.nanoTime();
+				boolean read = readOnce();
+				long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
+				pauseAfter(read, elapsedMillis);
+			}
+		}
+
+		private boolean readOnce() {
+			HttpAnswer answer = ConsulHostList.this.client.call(HttpCall.get(path(), timeout()));
+			try {
+				String result = take(answer);
+				ConsulHostList.this.reads.labelValues(this.service, result).inc();
+				return "answered".equals(result);
+			}
+			catch (IOException | RuntimeException ex) {
+				logger.warn("Kept the last list of service {}: the answer is not well-formed: {}", this.service,
+						ex.getMessage());
+				ConsulHostList.this.reads.labelValues(this.service, "malformed").inc();
+				this.index = 0;
+				return false;
+			}
+		}
+
+		private String take(HttpAnswer answer) throws IOException {
+			if (answer.state() != HttpAnswerState.ANSWERED) {
+				this.index = 0;
+				return "unavailable";
+			}
+			if (answer.status() != OK) {
+				this.index = 0;
+				return "refused";
+			}
+			List<ListedHost> hosts = parse(answer.body());
+			rememberIndex(answer);
+			this.readAt = System.nanoTime();
+			if (hosts.isEmpty() && !ConsulHostList.this.snapshot.hosts(this.service).isEmpty()) {
+				logger.warn("Kept the last list of service {}: the platform lists no host", this.service);
+				return "emptied";
+			}
+			publish(this.service, hosts);
+			return "answered";
+		}
+
+		private List<ListedHost> parse(byte[] body) throws IOException {
+			List<ListedHost> hosts = new ArrayList<>();
+			for (ConsulHost host : ConsulHostList.this.mapper.readValue(body, HOSTS)) {
+				hosts.add(host.toListedHost(this.service));
+			}
+			hosts.sort(Comparator.comparing(ListedHost::host).thenComparing(ListedHost::port));
+			return hosts;
+		}
+
+		private void rememberIndex(HttpAnswer answer) {
+			long read = Long.parseLong(answer.headers().getOrDefault("x-consul-index", "0"));
+			this.index = (read < this.index) ? 0 : read;
+		}
+
+		private void pauseAfter(boolean read, long elapsedMillis) {
+			long pollMillis = ConsulHostList.this.settings.pollMillis();
+			boolean waited = read && this.index > 0 && elapsedMillis >= pollMillis;
+			try {
+				TimeUnit.MILLISECONDS.sleep(waited ? 0 : jitteredMillis(pollMillis));
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+
+		private Duration timeout() {
+			Duration own = Duration.ofMillis(ConsulHostList.this.settings.timeoutMillis());
+			return (this.index > 0) ? own.plus(WAIT) : own;
+		}
+
+		private String path() {
+			String path = "/v1/health/service/" + URLEncoder.encode(this.service, StandardCharsets.UTF_8);
+			return (this.index > 0) ? path + "?index=" + this.index + "&wait=" + WAIT.toMillis() + "ms" : path;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
@@ -0,0 +1,210 @@
+package org.cyclamenstall.internal.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.client.UndertowClient;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.StringWriteChannelListener;
+import org.jspecify.annotations.Nullable;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Calls one HTTP server and waits for the whole answer. A call never takes longer than
+ * its timeout and is sent once; only a read whose kept connection turned out to be closed
+ * is sent again. The result says whether the request may have reached the server.
+ * Thread-safe; not to be used on an I/O thread.
+ */
+public final class BlockingHttpClient implements AutoCloseable {
+
+	private static final int BUFFER_BYTES = 16_384;
+
+	private static final int MAXIMUM_ANSWER_BYTES = 64 * 1_048_576;
+
+	private static final long MAXIMUM_IDLE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+	private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+
+	private final ConcurrentLinkedDeque<IdleConnection> idleConnections = new ConcurrentLinkedDeque<>();
+
+	private final InetSocketAddress address;
+
+	private final XnioWorker worker;
+
+	/**
+	 * Creates a client.
+	 * @param name the name of its thread
+	 * @param address the address of the server
+	 */
+	public BlockingHttpClient(String name, InetSocketAddress address) {
+		this.address = address;
+		try {
+			this.worker = Xnio.getInstance()
+				.createWorker(OptionMap.builder()
+					.set(Options.WORKER_NAME, name)
+					.set(Options.WORKER_IO_THREADS, 1)
+					.set(Options.WORKER_TASK_CORE_THREADS, 0)
+					.set(Options.WORKER_TASK_MAX_THREADS, 1)
+					.set(Options.TCP_NODELAY, true)
+					.set(Options.THREAD_DAEMON, true)
+					.getMap());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("Could not start the HTTP client " + name, ex);
+		}
+	}
+
+	/**
+	 * Sends a call and waits for its answer.
+	 * @param call the call
+	 * @return the answer, or how far the call came
+	 */
+	public HttpAnswer call(HttpCall call) {
+		ClientConnection kept = takeIdle();
+		if (kept == null) {
+			return callOnNewConnection(call);
+		}
+		CallProgress progress = new CallProgress();
+		send(kept, call, progress);
+		HttpAnswer answer = progress.await(call.timeout().toNanos());
+		if (answer.state() == HttpAnswerState.NO_ANSWER && call.isRepeatable() && !progress.isTimedOut()) {
+			return callOnNewConnection(call);
+		}
+		return answer;
+	}
+
+	@Override
+	public void close() {
+		this.idleConnections.forEach((idle) -> IoUtils.safeClose(idle.connection()));
+		this.idleConnections.clear();
+		this.worker.shutdownNow();
+		this.buffers.close();
+	}
+
+	private HttpAnswer callOnNewConnection(HttpCall call) {
+		CallProgress progress = new CallProgress();
+		URI server = URI.create("http://" + hostAndPort());
+		try {
+			UndertowClient.getInstance()
+				.connect(new Callback<>((connection) -> send(connection, call, progress), progress), server,
+						this.worker, this.buffers, OptionMap.EMPTY);
+		}
+		catch (RuntimeException ex) {
+			progress.fail(ex);
+		}
+		return progress.await(call.timeout().toNanos());
+	}
+
+	private void send(ClientConnection connection, HttpCall call, CallProgress progress) {
+		if (!progress.startSending(connection)) {
+			IoUtils.safeClose(connection);
+			return;
+		}
+		connection.getIoThread().execute(() -> {
+			try {
+				connection.sendRequest(request(call),
+						new Callback<>((exchange) -> sent(exchange, call, progress), progress));
+			}
+			catch (RuntimeException ex) {
+				progress.fail(ex);
+			}
+		});
+	}
+
+	private void sent(ClientExchange exchange, HttpCall call, CallProgress progress) {
+		exchange.setResponseListener(new Callback<>((answered) -> readAnswer(answered, progress), progress));
+		if (call.body().length > 0) {
+			String body = new String(call.body(), StandardCharsets.ISO_8859_1);
+			new StringWriteChannelListener(body, StandardCharsets.ISO_8859_1).setup(exchange.getRequestChannel());
+		}
+	}
+
+	private void readAnswer(ClientExchange exchange, CallProgress progress) {
+		ClientResponse response = exchange.getResponse();
+		Map<String, String> headers = headers(response.getResponseHeaders());
+		new BodyReader(this.buffers, MAXIMUM_ANSWER_BYTES, (body) -> {
+			keep(exchange.getConnection());
+			progress
+				.complete(new HttpAnswer(HttpAnswerState.ANSWERED, response.getResponseCode(), headers, body, null));
+		}, progress::fail).handleEvent(exchange.getResponseChannel());
+	}
+
+	private ClientRequest request(HttpCall call) {
+		ClientRequest request = new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
+		HeaderMap headers = request.getRequestHeaders();
+		headers.put(Headers.HOST, hostAndPort());
+		call.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
+		if (call.body().length > 0 || !call.isRepeatable()) {
+			headers.put(Headers.CONTENT_LENGTH, call.body().length);
+		}
+		return request;
+	}
+
+	private String hostAndPort() {
+		String host = this.address.getHostString();
+		return ((host.indexOf(':') >= 0) ? "[" + host + "]" : host) + ":" + this.address.getPort();
+	}
+
+	private void keep(ClientConnection connection) {
+		if (connection.isOpen()) {
+			this.idleConnections.push(new IdleConnection(connection, System.nanoTime()));
+		}
+	}
+
+	private @Nullable ClientConnection takeIdle() {
+		for (IdleConnection idle = this.idleConnections.poll(); idle != null; idle = this.idleConnections.poll()) {
+			if (idle.connection().isOpen() && System.nanoTime() - idle.since() < MAXIMUM_IDLE_NANOS) {
+				return idle.connection();
+			}
+			IoUtils.safeClose(idle.connection());
+		}
+		return null;
+	}
+
+	private static Map<String, String> headers(HeaderMap headers) {
+		return StreamSupport.stream(headers.spliterator(), false)
+			.collect(
+					Collectors.toUnmodifiableMap((values) -> values.getHeaderName().toString().toLowerCase(Locale.ROOT),
+							(values) -> values.getFirst()));
+	}
+
+	private record IdleConnection(ClientConnection connection, long since) {
+
+	}
+
+	private record Callback<T>(java.util.function.Consumer<T> onCompleted,
+			CallProgress progress) implements ClientCallback<T> {
+
+		@Override
+		public void completed(T result) {
+			this.onCompleted.accept(result);
+		}
+
+		@Override
+		public void failed(IOException ex) {
+			this.progress.fail(ex);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/HttpAnswer.java
@@ -0,0 +1,44 @@
+package org.cyclamenstall.internal.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds the result of an HTTP call. Immutable; the array is not copied and must not be
+ * changed.
+ *
+ * @param state how far the call came
+ * @param status the HTTP status, or 0 without an answer
+ * @param headers the headers by lower-case name
+ * @param body the body, empty without an answer
+ * @param detail what went wrong, or {@code null} if an answer was received
+ */
+public record HttpAnswer(HttpAnswerState state, int status, Map<String, String> headers, byte[] body,
+		@Nullable String detail) {
+
+	private static final byte[] EMPTY = new byte[0];
+
+	static HttpAnswer failed(HttpAnswerState state, String detail) {
+		return new HttpAnswer(state, 0, Map.of(), EMPTY, detail);
+	}
+
+	/**
+	 * Returns whether an answer with a status was received.
+	 * @param expected the status
+	 * @return {@code true} if it was
+	 */
+	public boolean hasStatus(int expected) {
+		return this.state == HttpAnswerState.ANSWERED && this.status == expected;
+	}
+
+	/**
+	 * Returns the body as text.
+	 * @return the text, decoded as UTF-8
+	 */
+	public String text() {
+		return new String(this.body, StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/operators/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The operators' port.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.internal.operators;
