Add the demonstration of a whole deployment

The verdict on the booking is the plain service's own count. The caller client moves to the stand-in module, because the demonstration calls as the tests do.

--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/CallerCall.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/caller/CallerCall.java
@@ -1,4 +1,4 @@
-package org.cyclamenstall.junit;
+package org.cyclamenstall.standin.caller;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/ChatForm.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/caller/ChatForm.java
@@ -1,4 +1,4 @@
-package org.cyclamenstall.junit;
+package org.cyclamenstall.standin.caller;
 
 /**
  * Tells how a chat completion is answered.
--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DemoRequests.java
@@ -0,0 +1,83 @@
+package org.cyclamenstall.standin.site;
+
+import java.io.PrintStream;
+
+import org.cyclamenstall.lib.HeaderNames;
+import org.cyclamenstall.standin.caller.CallerAnswer;
+import org.cyclamenstall.standin.caller.CallerClient;
+import org.cyclamenstall.standin.caller.ChatForm;
+
+/**
+ * Sends one request of each kind and checks each answer. Not thread-safe.
+ */
+final class DemoRequests {
+
+	private static final int OK = 200;
+
+	private static final int TOKENS = 12;
+
+	private static final int SHOWN_CHARACTERS = 80;
+
+	private final Site site;
+
+	private final PrintStream output;
+
+	private int nextDaemon;
+
+	private int wrongAnswers;
+
+	DemoRequests(Site site, PrintStream output) {
+		this.site = site;
+		this.output = output;
+	}
+
+	void send(DemoDeployment deployment) {
+		this.output.println(deployment.account());
+		CallerAnswer whole = client(deployment).chat(deployment.model(), "Is the ramp free?", TOKENS, ChatForm.WHOLE);
+		report("chat, whole", whole, whole.looksWhole() && !whole.text().isEmpty());
+		CallerAnswer streamed = client(deployment).chat(deployment.model(), "Is the ramp free?", TOKENS,
+				ChatForm.STREAMED);
+		report("chat, streamed", streamed, streamed.looksWhole() && streamed.isStream() && !streamed.text().isEmpty());
+		CallerAnswer lookUp = client(deployment).lookUp(deployment.pathPrefix() + "/17");
+		report("lookup", lookUp, lookUp.looksWhole());
+		bookTwice(deployment);
+	}
+
+	int wrongAnswers() {
+		return this.wrongAnswers;
+	}
+
+	private void bookTwice(DemoDeployment deployment) {
+		String key = deployment.account() + "-booking-1";
+		String body = "{\"item\":17}";
+		CallerAnswer first = client(deployment).book(deployment.pathPrefix(), key, body);
+		report("booking, pressed", first, first.looksWhole());
+		CallerAnswer second = client(deployment).book(deployment.pathPrefix(), key, body);
+		report("booking, pressed again", second, second.looksWhole() && second.body().equals(first.body()));
+		long executions = this.site.executionsOfKey(key);
+		judge(executions == 1);
+		this.output.println("  the plain service executed the booking " + executions + " time(s)");
+	}
+
+	private CallerClient client(DemoDeployment deployment) {
+		DaemonInstance daemon = this.site.daemon(this.nextDaemon % this.site.daemons().size());
+		this.nextDaemon++;
+		return new CallerClient(daemon.callers(), deployment.apiKey());
+	}
+
+	private void report(String kind, CallerAnswer answer, boolean right) {
+		judge(right);
+		String text = (answer.status() == OK && (answer.isStream() || kind.startsWith("chat"))) ? answer.text()
+				: answer.body();
+		this.output.printf("  %-24s %s %d from %s by %s: %s%n", kind, right ? "right" : "WRONG", answer.status(),
+				answer.header(HeaderNames.UPSTREAM).orElse("-"), answer.header(HeaderNames.ROUTED_BY).orElse("-"),
+				text.substring(0, Math.min(SHOWN_CHARACTERS, text.length())));
+	}
+
+	private void judge(boolean right) {
+		if (!right) {
+			this.wrongAnswers++;
+		}
+	}
+
+}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteLauncher.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteLauncher.java
@@ -47,7 +47,7 @@
 
 	private final Path directory;
 
-	private SiteNames names = SiteNames.SMALL;
+	private int upstreams;
 
 	/**
 	 * Creates a launcher.
@@ -59,16 +59,6 @@
 		this.directory = temporaryDirectory();
 	}
 
-	/**
-	 * Sets the names of hosts, services and failure domains.
-	 * @param siteNames the names
-	 * @return this launcher
-	 */
-	public SiteLauncher setNames(SiteNames siteNames) {
-		this.names = siteNames;
-		return this;
-	}
-
 	/**
 	 * Starts the stand-ins and the daemons and waits until every daemon is ready.
 	 * @return the site
@@ -99,27 +89,37 @@
 
 	private List<Upstream<EngineStandin>> engines() {
 		List<Upstream<EngineStandin>> engines = new ArrayList<>();
-		for (int index = 0; index < this.settings.engines(); index++) {
-			String name = this.names.engineService() + "-" + (index + 1);
-			engines.add(upstream(this.names.engineService(), index,
-					new EngineStandin(name, this.addresses.upstream(index), 0, this.settings.engineOptions())));
+		for (UpstreamGroup group : this.settings.engines()) {
+			for (int index = 0; index < group.number(); index++) {
+				engines.add(upstream(group, index, new EngineStandin(name(group, index), nextUpstreamAddress(), 0,
+						this.settings.engineOptions())));
+			}
 		}
 		return engines;
 	}
 
 	private List<Upstream<ServiceStandin>> services() {
 		List<Upstream<ServiceStandin>> services = new ArrayList<>();
-		for (int index = 0; index < this.settings.services(); index++) {
-			String name = this.names.plainService() + "-" + (index + 1);
-			String address = this.addresses.upstream(this.settings.engines() + index);
-			services.add(upstream(this.names.plainService(), index, new ServiceStandin(name, address, 0)));
+		for (UpstreamGroup group : this.settings.services()) {
+			for (int index = 0; index < group.number(); index++) {
+				services.add(upstream(group, index, new ServiceStandin(name(group, index), nextUpstreamAddress(), 0)));
+			}
 		}
 		return services;
 	}
 
-	private <S extends Standin> Upstream<S> upstream(String service, int index, S standin) {
+	private String nextUpstreamAddress() {
+		this.upstreams++;
+		return this.addresses.upstream(this.upstreams - 1);
+	}
+
+	private static String name(UpstreamGroup group, int index) {
+		return group.service() + "-" + (index + 1);
+	}
+
+	private <S extends Standin> Upstream<S> upstream(UpstreamGroup group, int index, S standin) {
 		FaultProxy proxy = proxyTo(standin.address(), standin.port());
-		return this.closer.register(new Upstream<>(service, domain(index), standin, proxy));
+		return this.closer.register(new Upstream<>(group.service(), domain(index), standin, proxy));
 	}
 
 	private List<DaemonInstance> daemons(StoreStandin store, HostListStandin hostList) {
@@ -139,7 +139,8 @@
 		DaemonProxies proxies = new DaemonProxies(proxyTo(store.address(), store.port()),
 				proxyTo(hostList.address(), hostList.port()), proxyTo(address, peers.getPort()),
 				proxyTo(address, callers.getPort()));
-		return new DaemonPlan(this.names.host() + "-" + (index + 1), domain(index), callers, operators, peers, proxies);
+		return new DaemonPlan(this.settings.names().host() + "-" + (index + 1), domain(index), callers, operators,
+				peers, proxies);
 	}
 
 	private DaemonInstance daemon(DaemonPlan plan, List<DaemonPlan> all) {
@@ -153,7 +154,7 @@
 	private DaemonSettings settingsOf(DaemonPlan plan, List<DaemonPlan> all) {
 		String address = plan.callers().getHostString();
 		List<PeerAddress> seeds = all.stream().filter((other) -> other != plan).map(DaemonPlan::seed).toList();
-		return new DaemonSettings(plan.host(), plan.failureDomain(), this.names.region(),
+		return new DaemonSettings(plan.host(), plan.failureDomain(), this.settings.names().region(),
 				new CallerSettings(address, plan.callers().getPort(), null, null, null, null, null),
 				new OperatorSettings(address, plan.operators().getPort(), null),
 				new PeerSettings(address, plan.peers().getPort(), null, seeds, this.settings.exchangeMillis(), null),
@@ -176,7 +177,7 @@
 	}
 
 	private String domain(int index) {
-		return this.names.region() + "-" + (char) ('a' + index % FAILURE_DOMAINS);
+		return this.settings.names().region() + "-" + (char) ('a' + index % FAILURE_DOMAINS);
 	}
 
 	private static void write(Path file, DaemonSettings settings) {
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteSettings.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteSettings.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.standin.site;
 
+import java.util.List;
+
 import org.cyclamenstall.settings.ClaimSettings;
 import org.cyclamenstall.settings.PolicySettings;
 import org.cyclamenstall.settings.ShutdownSettings;
@@ -8,9 +10,10 @@
 /**
  * Holds the sizes and bounds of a site. Immutable.
  *
+ * @param names the names of region and hosts
  * @param daemons the number of daemons
- * @param engines the number of engines
- * @param services the number of plain services
+ * @param engines the services of engines
+ * @param services the plain services
  * @param engineOptions the size and speed of each engine
  * @param policy the policies of each daemon
  * @param claims the bounds on claims of each daemon
@@ -19,32 +22,44 @@
  * @param exchangeMillis the pause between two exchanges with a peer, in milliseconds
  * @param pollMillis the pause between two reads of the host list, in milliseconds
  */
-public record SiteSettings(int daemons, int engines, int services, EngineOptions engineOptions, PolicySettings policy,
-		ClaimSettings claims, ShutdownSettings shutdown, int storeTimeoutMillis, int exchangeMillis, int pollMillis) {
+public record SiteSettings(SiteNames names, int daemons, List<UpstreamGroup> engines, List<UpstreamGroup> services,
+		EngineOptions engineOptions, PolicySettings policy, ClaimSettings claims, ShutdownSettings shutdown,
+		int storeTimeoutMillis, int exchangeMillis, int pollMillis) {
 
 	/** Holds a small site with short bounds. */
-	public static final SiteSettings SMALL = new SiteSettings(2, 2, 2, engine(), PolicySettings.DEFAULTS,
-			ClaimSettings.DEFAULTS, new ShutdownSettings(500, 120), 1_000, 200, 200);
+	public static final SiteSettings SMALL = new SiteSettings(new SiteNames("ro-central", "entry"), 2,
+			List.of(new UpstreamGroup("cuptor", 2)), List.of(new UpstreamGroup("ghiseu", 2)), engine(),
+			PolicySettings.DEFAULTS, ClaimSettings.DEFAULTS, new ShutdownSettings(500, 120), 1_000, 200, 200);
+
+	/**
+	 * Returns these settings with other names.
+	 * @param others the names of region and hosts
+	 * @return the settings
+	 */
+	public SiteSettings withNames(SiteNames others) {
+		return new SiteSettings(others, this.daemons, this.engines, this.services, this.engineOptions, this.policy,
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+	}
 
 	/**
-	 * Returns these settings with another number of daemons.
+	 * Returns these settings with other numbers of daemons.
 	 * @param number the number of daemons
 	 * @return the settings
 	 */
 	public SiteSettings withDaemons(int number) {
-		return new SiteSettings(number, this.engines, this.services, this.engineOptions, this.policy, this.claims,
-				this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+		return new SiteSettings(this.names, number, this.engines, this.services, this.engineOptions, this.policy,
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
 	}
 
 	/**
-	 * Returns these settings with other numbers of upstreams.
-	 * @param engineNumber the number of engines
-	 * @param serviceNumber the number of plain services
+	 * Returns these settings with other upstreams.
+	 * @param engineGroups the services of engines
+	 * @param serviceGroups the plain services
 	 * @return the settings
 	 */
-	public SiteSettings withUpstreams(int engineNumber, int serviceNumber) {
-		return new SiteSettings(this.daemons, engineNumber, serviceNumber, this.engineOptions, this.policy, this.claims,
-				this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+	public SiteSettings withUpstreams(List<UpstreamGroup> engineGroups, List<UpstreamGroup> serviceGroups) {
+		return new SiteSettings(this.names, this.daemons, engineGroups, serviceGroups, this.engineOptions, this.policy,
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
 	}
 
 	/**
@@ -53,8 +68,8 @@
 	 * @return the settings
 	 */
 	public SiteSettings withEngineOptions(EngineOptions options) {
-		return new SiteSettings(this.daemons, this.engines, this.services, options, this.policy, this.claims,
-				this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+		return new SiteSettings(this.names, this.daemons, this.engines, this.services, options, this.policy,
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
 	}
 
 	/**
@@ -63,8 +78,8 @@
 	 * @return the settings
 	 */
 	public SiteSettings withPolicy(PolicySettings policies) {
-		return new SiteSettings(this.daemons, this.engines, this.services, this.engineOptions, policies, this.claims,
-				this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+		return new SiteSettings(this.names, this.daemons, this.engines, this.services, this.engineOptions, policies,
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
 	}
 
 	/**
@@ -73,8 +88,8 @@
 	 * @return the settings
 	 */
 	public SiteSettings withClaims(ClaimSettings bounds) {
-		return new SiteSettings(this.daemons, this.engines, this.services, this.engineOptions, this.policy, bounds,
-				this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+		return new SiteSettings(this.names, this.daemons, this.engines, this.services, this.engineOptions, this.policy,
+				bounds, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
 	}
 
 	/**
@@ -83,8 +98,8 @@
 	 * @return the settings
 	 */
 	public SiteSettings withShutdown(ShutdownSettings bounds) {
-		return new SiteSettings(this.daemons, this.engines, this.services, this.engineOptions, this.policy, this.claims,
-				bounds, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+		return new SiteSettings(this.names, this.daemons, this.engines, this.services, this.engineOptions, this.policy,
+				this.claims, bounds, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
 	}
 
 	private static EngineOptions engine() {
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/faultproxy/FaultProxyTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/faultproxy/FaultProxyTests.java
@@ -3,9 +3,9 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
-import org.cyclamenstall.junit.CallerAnswer;
-import org.cyclamenstall.junit.CallerCall;
-import org.cyclamenstall.junit.CallerClient;
+import org.cyclamenstall.standin.caller.CallerAnswer;
+import org.cyclamenstall.standin.caller.CallerCall;
+import org.cyclamenstall.standin.caller.CallerClient;
 import org.cyclamenstall.standin.faultproxy.Direction;
 import org.cyclamenstall.standin.faultproxy.FaultAction;
 import org.cyclamenstall.standin.faultproxy.FaultProxy;
