--- /dev/null
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/CataloguePutCommand.java
@@ -0,0 +1,95 @@
+package org.cyclamenstall.pgm.command;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.StreamSupport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cyclamenstall.catalogue.CatalogueEntry;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.internal.catalogue.CatalogueChecks;
+import org.cyclamenstall.internal.yaml.CheckedYamlReader;
+import org.cyclamenstall.internal.yaml.InvalidYamlException;
+import org.cyclamenstall.internal.yaml.YamlDocuments;
+import org.cyclamenstall.internal.yaml.YamlProblem;
+
+/**
+ * Writes the entries of a file, one edit after the other. All documents of the file are
+ * checked by themselves before the first one is sent. Has no state.
+ */
+final class CataloguePutCommand implements Subcommand {
+
+	private static final String FILE = "file";
+
+	@Override
+	public String name() {
+		return "catalogue put";
+	}
+
+	@Override
+	public String summary() {
+		return "Write the entries of a YAML file; several documents are separated by lines of ---.";
+	}
+
+	@Override
+	public Options options() {
+		return EditOptions.options()
+			.addOption(
+					Option.builder("f").longOpt(FILE).hasArg().argName("FILE").desc("the file with the entries").get());
+	}
+
+	@Override
+	public void run(CommandContext context) {
+		context.noArguments();
+		String file = context.line().getOptionValue(FILE);
+		if (file == null) {
+			throw new RouterException(ErrorKind.USAGE, "-f FILE is required; see --help");
+		}
+		CheckedYamlReader reader = new CheckedYamlReader(ErrorKind.CATALOGUE_INVALID);
+		List<String> documents = YamlDocuments.split(reader.text(Path.of(file)));
+		List<CatalogueEntry> entries = documents.stream()
+			.map((document) -> reader.read(document, file, CatalogueEntry.class, CatalogueChecks::faults))
+			.toList();
+		if (entries.isEmpty()) {
+			throw new RouterException(ErrorKind.CATALOGUE_INVALID, file + ":1: the file holds no document");
+		}
+		if (entries.size() > 1 && EditOptions.hasExpectedRevision(context)) {
+			throw new RouterException(ErrorKind.USAGE, "--expected-revision needs a file with one document");
+		}
+		String editId = EditOptions.editId(context);
+		try (OperatorClient client = OperatorClient.create(context.line())) {
+			long revision = 0;
+			for (int index = 0; index < entries.size(); index++) {
+				String documentId = (entries.size() > 1) ? editId + "-" + (index + 1) : editId;
+				JsonNode accepted = put(context, client, file, entries.get(index), documents.get(index), documentId);
+				revision = Math.max(revision, accepted.path("revision").asLong());
+				EditOptions.reportAcceptance(context, accepted);
+			}
+			EditOptions.reportInForce(context, client, revision);
+		}
+	}
+
+	private static JsonNode put(CommandContext context, OperatorClient client, String file, CatalogueEntry entry,
+			String document, String editId) {
+		try {
+			return client.edit("PUT",
+					"/v1/catalogue/" + OperatorClient.encode(entry.name()) + EditOptions.query(context), editId,
+					document.getBytes(StandardCharsets.UTF_8));
+		}
+		catch (DaemonRefusedException ex) {
+			List<YamlProblem> problems = StreamSupport.stream(ex.error().path("problems").spliterator(), false)
+				.map((problem) -> new YamlProblem(problem.path("line").asInt(1), problem.path("field").asText(),
+						problem.path("message").asText()))
+				.toList();
+			if (problems.isEmpty()) {
+				throw new RouterException(ex.kind(), entry.name() + ": " + ex.getMessage(), ex);
+			}
+			throw new InvalidYamlException(ex.kind(), file, problems);
+		}
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/DaemonRefusedException.java
@@ -0,0 +1,23 @@
+package org.cyclamenstall.pgm.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.RouterException;
+
+/**
+ * Reports that the daemon refused a request.
+ */
+final class DaemonRefusedException extends RouterException {
+
+	private final transient JsonNode error;
+
+	DaemonRefusedException(ErrorKind kind, JsonNode error) {
+		super(kind, error.path("message").asText("the daemon refused the request"));
+		this.error = error;
+	}
+
+	JsonNode error() {
+		return this.error;
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/EditOptions.java
@@ -0,0 +1,106 @@
+package org.cyclamenstall.pgm.command;
+
+import java.util.UUID;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.RouterException;
+
+/**
+ * Holds what the sub-commands that edit the catalogue have in common. Has no state.
+ */
+final class EditOptions {
+
+	private static final String EXPECTED_REVISION = "expected-revision";
+
+	private static final String EDIT_ID = "edit-id";
+
+	private static final String WAIT_SECONDS = "wait-seconds";
+
+	private static final long DEFAULT_WAIT_SECONDS = 5;
+
+	private static final long MAXIMUM_WAIT_SECONDS = 15;
+
+	private EditOptions() {
+	}
+
+	static Options options() {
+		return new Options()
+			.addOption(Option.builder()
+				.longOpt(EXPECTED_REVISION)
+				.hasArg()
+				.argName("N")
+				.desc("refuse the edit unless the entry is at this revision; 0 means that it does not exist")
+				.get())
+			.addOption(Option.builder()
+				.longOpt(EDIT_ID)
+				.hasArg()
+				.argName("ID")
+				.desc("repeat an edit whose result is unknown; it takes effect once")
+				.get())
+			.addOption(Option.builder()
+				.longOpt(WAIT_SECONDS)
+				.hasArg()
+				.argName("N")
+				.desc("how long to wait until the edit is in force on all live hosts; 5 unless given, at most 15")
+				.get());
+	}
+
+	static String query(CommandContext context) {
+		String expected = "";
+		if (context.line().hasOption(EXPECTED_REVISION)) {
+			expected = "&expected-revision=" + context.number(EXPECTED_REVISION, 0);
+		}
+		return "?wait-millis=0" + expected;
+	}
+
+	static boolean hasExpectedRevision(CommandContext context) {
+		return context.line().hasOption(EXPECTED_REVISION);
+	}
+
+	static String editId(CommandContext context) {
+		String given = context.line().getOptionValue(EDIT_ID);
+		return (given != null) ? given : UUID.randomUUID().toString();
+	}
+
+	static void reportAcceptance(CommandContext context, JsonNode accepted) {
+		if (context.format() == OutputFormat.JSON) {
+			context.output().println(accepted);
+		}
+		else {
+			context.output()
+				.println(accepted.path("name").asText() + ": accepted at revision "
+						+ accepted.path("revision").asLong());
+		}
+		for (JsonNode warning : accepted.path("warnings")) {
+			context.errors()
+				.println("warning: " + accepted.path("name").asText() + ": " + warning.path("field").asText() + ": "
+						+ warning.path("message").asText());
+		}
+	}
+
+	static void reportInForce(CommandContext context, OperatorClient client, long revision) {
+		long seconds = context.number(WAIT_SECONDS, DEFAULT_WAIT_SECONDS);
+		if (seconds > MAXIMUM_WAIT_SECONDS) {
+			throw new RouterException(ErrorKind.USAGE, "--wait-seconds must be at most " + MAXIMUM_WAIT_SECONDS);
+		}
+		JsonNode answer = client.get("/v1/in-force/" + revision + "?wait-millis=" + seconds * 1000);
+		if (context.format() == OutputFormat.JSON) {
+			context.output().println(answer);
+			return;
+		}
+		int inForce = answer.path("inForce").size();
+		int live = inForce + answer.path("pending").size();
+		StringBuilder text = new StringBuilder(
+				"revision " + revision + ": in force on " + inForce + " of " + live + " live hosts");
+		String separator = "; not yet known of: ";
+		for (JsonNode host : answer.path("pending")) {
+			text.append(separator).append(host.asText());
+			separator = ", ";
+		}
+		context.output().println(text);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/HostsCommand.java
@@ -0,0 +1,42 @@
+package org.cyclamenstall.pgm.command;
+
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Lists the daemons that a daemon knows. Has no state.
+ */
+final class HostsCommand implements Subcommand {
+
+	@Override
+	public String name() {
+		return "hosts";
+	}
+
+	@Override
+	public String summary() {
+		return "List the daemons that the daemon knows, with the catalogue revision of each.";
+	}
+
+	@Override
+	public void run(CommandContext context) {
+		context.noArguments();
+		try (OperatorClient client = OperatorClient.create(context.line())) {
+			JsonNode answer = client.get("/v1/hosts");
+			if (context.format() == OutputFormat.JSON) {
+				context.output().println(answer);
+				return;
+			}
+			TablePrinter table = new TablePrinter("HOST", "STATE", "FAILURE DOMAIN", "PEER ADDRESS", "REVISION");
+			for (JsonNode host : answer.path("hosts")) {
+				table.add(host.path("host").asText(), host.path("state").asText().toLowerCase(Locale.ROOT),
+						host.path("failureDomain").asText(),
+						host.path("address").asText() + ":" + host.path("port").asInt(),
+						host.path("catalogueRevision").asLong());
+			}
+			table.print(context.output());
+		}
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/SettingsCheckCommand.java
@@ -0,0 +1,37 @@
+package org.cyclamenstall.pgm.command;
+
+import java.nio.file.Path;
+
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.internal.yaml.CheckedYamlReader;
+import org.cyclamenstall.settings.DaemonSettings;
+
+/**
+ * Checks a file of settings without a daemon. Has no state.
+ */
+final class SettingsCheckCommand implements Subcommand {
+
+	@Override
+	public String name() {
+		return "settings check";
+	}
+
+	@Override
+	public String arguments() {
+		return "FILE";
+	}
+
+	@Override
+	public String summary() {
+		return "Check a file of daemon settings; needs no daemon.";
+	}
+
+	@Override
+	public void run(CommandContext context) {
+		String file = context.onlyArgument("a FILE of settings");
+		DaemonSettings settings = new CheckedYamlReader(ErrorKind.SETTINGS_INVALID).read(Path.of(file),
+				DaemonSettings.class);
+		context.output().println(file + ": the settings of host " + settings.host() + " are valid");
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/UpstreamsCommand.java
@@ -0,0 +1,40 @@
+package org.cyclamenstall.pgm.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Lists the upstreams as a daemon sees them. Has no state.
+ */
+final class UpstreamsCommand implements Subcommand {
+
+	@Override
+	public String name() {
+		return "upstreams";
+	}
+
+	@Override
+	public String summary() {
+		return "List the upstreams as the daemon sees them.";
+	}
+
+	@Override
+	public void run(CommandContext context) {
+		context.noArguments();
+		try (OperatorClient client = OperatorClient.create(context.line())) {
+			JsonNode answer = client.get("/v1/upstreams");
+			if (context.format() == OutputFormat.JSON) {
+				context.output().println(answer);
+				return;
+			}
+			TablePrinter table = new TablePrinter("SERVICE", "HOST", "ADDRESS", "FAILURE DOMAIN", "STATE", "IN FLIGHT",
+					"WINDOW", "FIRST TOKEN (S)");
+			for (JsonNode row : answer.path("upstreams")) {
+				table.add(row.path("service").asText(), row.path("host").asText(), row.path("address").asText(),
+						row.path("failureDomain").asText(), row.path("state").asText(), row.path("inFlight").asInt(),
+						row.path("window").asInt(), row.path("firstTokenSeconds").asText("-"));
+			}
+			table.print(context.output());
+		}
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The sub-commands of the command-line tool.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.pgm.command;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
@@ -8,7 +8,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -64,8 +66,18 @@
 	 * @throws InvalidYamlException if the file cannot be read or fails its checks
 	 */
 	public <T> T read(Path file, Class<T> type) {
+		return read(text(file), file.toString(), type);
+	}
+
+	/**
+	 * Reads a file without a check of its content.
+	 * @param file the file
+	 * @return the text
+	 * @throws InvalidYamlException if the file cannot be read
+	 */
+	public String text(Path file) {
 		try {
-			return read(Files.readString(file, StandardCharsets.UTF_8), file.toString(), type);
+			return Files.readString(file, StandardCharsets.UTF_8);
 		}
 		catch (IOException ex) {
 			throw new InvalidYamlException(this.kind, file.toString(),
@@ -83,18 +95,39 @@
 	 * @throws InvalidYamlException if the text fails its checks
 	 */
 	public <T> T read(String text, String source, Class<T> type) {
+		return read(text, source, type, (document) -> List.of());
+	}
+
+	/**
+	 * Reads a text and makes further checks, once its fields pass theirs.
+	 * @param <T> the type of document
+	 * @param text the text
+	 * @param source the name of the document in messages
+	 * @param type the type of document
+	 * @param check returns the faults of a document
+	 * @return the checked document
+	 * @throws InvalidYamlException if the text fails its checks
+	 */
+	public <T> T read(String text, String source, Class<T> type, Function<T, List<FieldFault>> check) {
 		YamlLines lines = lines(text, source);
 		T document = parse(text, source, type);
-		List<YamlProblem> problems = this.validator.validate(document)
-			.stream()
-			.map((violation) -> problem(violation, lines))
+		refuseProblems(source,
+				this.validator.validate(document).stream().map((violation) -> problem(violation, lines)));
+		refuseProblems(source,
+				check.apply(document)
+					.stream()
+					.map((fault) -> new YamlProblem(lines.lineOf(fault.field()), fault.field(), fault.message())));
+		return document;
+	}
+
+	private void refuseProblems(String source, Stream<YamlProblem> found) {
+		List<YamlProblem> problems = found
 			.sorted(Comparator.comparingInt(YamlProblem::line).thenComparing(YamlProblem::field))
 			.distinct()
 			.toList();
 		if (!problems.isEmpty()) {
 			throw new InvalidYamlException(this.kind, source, problems);
 		}
-		return document;
 	}
 
 	private YamlLines lines(String text, String source) {
