Claim named requests in the platform's store

A booking that is pressed again, on any host, must run at most once. A lease was ruled out: a paused holder does not notice that it lapsed.

--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/ClaimAge.java
@@ -0,0 +1,43 @@
+package org.cyclamenstall.internal.claims;
+
+import java.time.Duration;
+import java.time.InstantSource;
+
+import org.cyclamenstall.kernel.MonotonicClock;
+
+/**
+ * Measures the age of a claim since its request came in. Either clock can prove the claim
+ * too old: the monotonic one may stand still while the machine is suspended, and the wall
+ * clock may be set back. Immutable and therefore thread-safe.
+ */
+final class ClaimAge {
+
+	private final MonotonicClock clock;
+
+	private final InstantSource wallClock;
+
+	private final long startNanos;
+
+	private final long startMillis;
+
+	private final long maximumMillis;
+
+	ClaimAge(MonotonicClock clock, InstantSource wallClock, long maximumMillis) {
+		this.clock = clock;
+		this.wallClock = wallClock;
+		this.startNanos = clock.nanoTime();
+		this.startMillis = wallClock.millis();
+		this.maximumMillis = maximumMillis;
+	}
+
+	long startMillis() {
+		return this.startMillis;
+	}
+
+	boolean isExceeded() {
+		long monotonicMillis = Duration.ofNanos(this.clock.nanoTime() - this.startNanos).toMillis();
+		long wallMillis = this.wallClock.millis() - this.startMillis;
+		return Math.max(monotonicMillis, wallMillis) > this.maximumMillis;
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/ClaimStore.java
@@ -0,0 +1,68 @@
+package org.cyclamenstall.internal.claims;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.store.ConfigurationStore;
+import org.cyclamenstall.store.StorePriority;
+import org.cyclamenstall.store.StoreRecord;
+import org.cyclamenstall.store.WriteResult;
+
+/**
+ * Reads and writes claim records. Methods block. Thread-safe.
+ */
+final class ClaimStore {
+
+	private final ConfigurationStore store;
+
+	ClaimStore(ConfigurationStore store) {
+		this.store = store;
+	}
+
+	/**
+	 * Reads a record.
+	 * @param key the key
+	 * @param priority the rank of the call
+	 * @return the record with its version, or empty if there is none
+	 * @throws RouterException if there is no answer or the record is malformed
+	 */
+	Optional<StoredClaim> read(String key, StorePriority priority) {
+		return this.store.get(key, priority).map(ClaimStore::parse);
+	}
+
+	/**
+	 * Writes a record where the store still is as it was seen.
+	 * @param key the key
+	 * @param record the record
+	 * @param version the version that was read; zero if there was no record
+	 * @param priority the rank of the call
+	 * @return what became of the write
+	 */
+	WriteResult write(String key, ClaimRecord record, long version, StorePriority priority) {
+		byte[] value = record.toBytes();
+		return (version == 0) ? this.store.createIfAbsent(key, value, priority)
+				: this.store.compareAndSwap(key, value, version, priority);
+	}
+
+	private static StoredClaim parse(StoreRecord record) {
+		try {
+			return new StoredClaim(ClaimRecord.parse(record.value()), record.version());
+		}
+		catch (IOException ex) {
+			throw new RouterException(ErrorKind.STORE_UNAVAILABLE, "Claim record " + record.key() + " is malformed",
+					ex);
+		}
+	}
+
+	/**
+	 * Holds a record with its version.
+	 *
+	 * @param record the record
+	 * @param version the version
+	 */
+	record StoredClaim(ClaimRecord record, long version) {
+	}
+
+}
