Add the traffic controller with its first policies

The daemon needs one place that decides whether a request is admitted, when it runs and on which upstream. One lock with pure rules under it was chosen over an actor per upstream service: decisions take microseconds, and tests drive the controller with a clock and tick() without threads.

Listeners are called after the lock is released.

Limits, upstream choice and retries have no tests of their own yet.

--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/PolicyFixture.java
@@ -0,0 +1,145 @@
+package org.cyclamenstall.test.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cyclamenstall.catalogue.Catalogue;
+import org.cyclamenstall.catalogue.CatalogueEntry;
+import org.cyclamenstall.catalogue.CatalogueView;
+import org.cyclamenstall.catalogue.EntryKind;
+import org.cyclamenstall.catalogue.Limits;
+import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.hosts.HostList;
+import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.hosts.HostState;
+import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.internal.policy.Decision;
+import org.cyclamenstall.internal.policy.PolicyTrafficController;
+import org.cyclamenstall.internal.policy.TrafficControllers;
+import org.cyclamenstall.policy.RequestFacts;
+import org.cyclamenstall.policy.Ticket;
+import org.cyclamenstall.settings.PolicySettings;
+
+/**
+ * Drives a controller with a clock that the test moves, without a timer.
+ */
+class PolicyFixture {
+
+	static final String SERVICE = "cuptor";
+
+	static final PolicySettings TIERS = settings("tiers", 4, 1_000);
+
+	final AtomicLong nowNanos = new AtomicLong(1);
+
+	final List<Decision> decisions = new ArrayList<>();
+
+	final PrometheusRegistry metrics = new PrometheusRegistry();
+
+	final List<ListedHost> listed = new ArrayList<>();
+
+	final List<Consumer<HostSnapshot>> hostListeners = new ArrayList<>();
+
+	final PolicyTrafficController controller;
+
+	private long requests;
+
+	PolicyFixture(PolicySettings settings, int upstreams, long seed) {
+		for (int number = 1; number <= upstreams; number++) {
+			this.listed.add(host(number, HostState.LIVE));
+		}
+		this.controller = TrafficControllers.create(settings, new FixedCatalogue(), new ListedHosts(), "ro-central-a",
+				this.nowNanos::get, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.metrics, this.decisions::add);
+	}
+
+	static PolicySettings settings(String scheduling, int slots, int queueLength) {
+		return new PolicySettings(scheduling, null, null, null, null, null, slots, null, null, queueLength, null, null,
+				null);
+	}
+
+	static ListedHost host(int number, HostState state) {
+		return new ListedHost(SERVICE, "cuptor-" + number, "127.0.0." + number, 80, "ro-central-a", state);
+	}
+
+	static CatalogueEntry model(Limits limits) {
+		return new CatalogueEntry("chat", EntryKind.MODEL, "owner", Tier.INTERACTIVE, limits, SERVICE, "chat", 0.53,
+				0.045, true, null, null, null, null, null, null);
+	}
+
+	static CatalogueEntry account(String name, Limits limits) {
+		return new CatalogueEntry(name, EntryKind.ACCOUNT, "owner", Tier.INTERACTIVE, limits, null, null, null, null,
+				null, null, null, null, null, null, Set.of("chat"));
+	}
+
+	RequestFacts facts(Tier tier) {
+		return facts(tier, "brutarie", Limits.NONE);
+	}
+
+	RequestFacts facts(Tier tier, String account, Limits limits) {
+		this.requests++;
+		return new RequestFacts("request-" + this.requests, model(limits), account(account, Limits.NONE), tier,
+				this.nowNanos.get(), 10, 100, true, true, null);
+	}
+
+	Ticket submit(Tier tier, RecordedListener listener) {
+		return this.controller.submit(facts(tier), listener);
+	}
+
+	RecordedListener submit(Tier tier) {
+		RecordedListener listener = new RecordedListener();
+		submit(tier, listener);
+		return listener;
+	}
+
+	void advanceMillis(long millis) {
+		this.nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+		this.controller.tick(this.nowNanos.get());
+	}
+
+	void publish() {
+		HostSnapshot snapshot = snapshot();
+		this.hostListeners.forEach((listener) -> listener.accept(snapshot));
+	}
+
+	private HostSnapshot snapshot() {
+		return new HostSnapshot(Map.of(SERVICE, List.copyOf(this.listed)));
+	}
+
+	private final class ListedHosts implements HostList {
+
+		@Override
+		public HostSnapshot current() {
+			return snapshot();
+		}
+
+		@Override
+		public void addListener(Consumer<HostSnapshot> listener) {
+			PolicyFixture.this.hostListeners.add(listener);
+		}
+
+		@Override
+		public void watch(String service) {
+		}
+
+	}
+
+	private static final class FixedCatalogue implements CatalogueView {
+
+		@Override
+		public Catalogue current() {
+			return Catalogue.EMPTY;
+		}
+
+		@Override
+		public void addListener(Consumer<Catalogue> listener) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/SchedulingTests.java
@@ -0,0 +1,130 @@
+package org.cyclamenstall.test.policy;
+
+import org.cyclamenstall.catalogue.Limits;
+import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.policy.AttemptResult;
+import org.cyclamenstall.policy.RetryDecision;
+import org.cyclamenstall.policy.RetryReason;
+import org.cyclamenstall.policy.Ticket;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+/**
+ * Tests of queues, tiers and slots.
+ */
+class SchedulingTests {
+
+	@Nested
+	class WhenSlotsAreFree {
+
+		@Test
+		void grantsAtOnce() {
+			PolicyFixture fixture = new PolicyFixture(PolicyFixture.TIERS, 2, 1);
+			RecordedListener listener = fixture.submit(Tier.INTERACTIVE);
+			assertThat(listener.isGranted(), is(true));
+			assertThat(listener.grant().attempt(), equalTo(1));
+		}
+
+	}
+
+	@Nested
+	class WhenSlotsAreTaken {
+
+		private final PolicyFixture fixture = new PolicyFixture(PolicyFixture.settings("tiers", 1, 2), 1, 1);
+
+		@Test
+		void servesTheHighestTierFirst() {
+			RecordedListener running = this.fixture.submit(Tier.INTERACTIVE);
+			RecordedListener bulk = this.fixture.submit(Tier.BULK);
+			RecordedListener interactive = this.fixture.submit(Tier.INTERACTIVE);
+			running.grant().ended(AttemptResult.COMPLETED);
+			assertThat(interactive.isGranted(), is(true));
+			assertThat(bulk.answers(), equalTo(0));
+		}
+
+		@Test
+		void shedsTheNewestOfTheLowestTier() {
+			this.fixture.submit(Tier.INTERACTIVE);
+			RecordedListener older = this.fixture.submit(Tier.BULK);
+			RecordedListener newer = this.fixture.submit(Tier.BULK);
+			for (int count = 0; count < 3; count++) {
+				this.fixture.submit(Tier.STANDARD);
+			}
+			assertThat(newer.refusal(), equalTo(ErrorKind.SHED));
+			assertThat(older.answers(), equalTo(0));
+		}
+
+		@Test
+		void refusesTheLowestTierWhenItsQueueIsFull() {
+			this.fixture.submit(Tier.INTERACTIVE);
+			this.fixture.submit(Tier.BULK);
+			this.fixture.submit(Tier.BULK);
+			assertThat(this.fixture.submit(Tier.BULK).refusal(), equalTo(ErrorKind.QUEUE_FULL));
+		}
+
+		@Test
+		void neverRefusesTheHighestTierForAFullQueue() {
+			for (int count = 0; count < 20; count++) {
+				assertThat(this.fixture.submit(Tier.INTERACTIVE).refusal(), nullValue());
+			}
+		}
+
+		@Test
+		void servesAnOldRequestOfALowerTierDespiteHigherOnes() {
+			RecordedListener running = this.fixture.submit(Tier.INTERACTIVE);
+			RecordedListener bulk = this.fixture.submit(Tier.BULK);
+			this.fixture.advanceMillis(11_000);
+			RecordedListener interactive = this.fixture.submit(Tier.INTERACTIVE);
+			running.grant().ended(AttemptResult.COMPLETED);
+			assertThat(bulk.isGranted(), is(true));
+			assertThat(interactive.answers(), equalTo(0));
+		}
+
+		@Test
+		void refusesARequestAtItsDeadline() {
+			this.fixture.submit(Tier.INTERACTIVE);
+			RecordedListener listener = new RecordedListener();
+			Limits limits = new Limits(null, null, null, 0.5, null, null);
+			this.fixture.controller.submit(this.fixture.facts(Tier.BULK, "brutarie", limits), listener);
+			this.fixture.advanceMillis(499);
+			assertThat(listener.answers(), equalTo(0));
+			this.fixture.advanceMillis(2);
+			assertThat(listener.refusal(), equalTo(ErrorKind.DEADLINE_EXCEEDED));
+		}
+
+	}
+
+	@Nested
+	class WhenALongStreamHoldsTheSlot {
+
+		private final PolicyFixture fixture = new PolicyFixture(PolicyFixture.settings("tiers", 1, 10), 1, 1);
+
+		@Test
+		void preemptsItForAHigherTierAndServesItNext() {
+			RecordedListener bulk = new RecordedListener();
+			Ticket ticket = this.fixture.submit(Tier.BULK, bulk);
+			bulk.grant().firstToken();
+			bulk.grant().tokens(100);
+			RecordedListener interactive = this.fixture.submit(Tier.INTERACTIVE);
+			assertThat(bulk.preemptions(), equalTo(1));
+			bulk.grant().ended(AttemptResult.PREEMPTED);
+			assertThat(interactive.isGranted(), is(true));
+			RecordedListener later = this.fixture.submit(Tier.BULK);
+			RecordedListener resumed = new RecordedListener();
+			assertThat(ticket.retry(RetryReason.PREEMPTED, resumed), equalTo(RetryDecision.GRANTED));
+			interactive.grant().ended(AttemptResult.COMPLETED);
+			assertThat(resumed.isGranted(), is(true));
+			assertThat(resumed.grant().attempt(), greaterThan(1));
+			assertThat(later.answers(), equalTo(0));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/DemandCollector.java
@@ -0,0 +1,38 @@
+package org.cyclamenstall.internal.policy;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.cyclamenstall.internal.policy.limits.SharedLimit;
+import org.cyclamenstall.policy.DemandReport;
+
+/**
+ * Gathers the demand of this daemon. Not thread-safe.
+ */
+final class DemandCollector {
+
+	private final Map<String, Double> demandByLimit = new HashMap<>();
+
+	private final Map<String, Integer> inFlightByUpstream = new HashMap<>();
+
+	void limit(String name, double demand) {
+		if (demand >= SharedLimit.LEAST_DEMAND) {
+			this.demandByLimit.put(name, demand);
+		}
+	}
+
+	void inFlight(String upstream, int count) {
+		if (count > 0) {
+			this.inFlightByUpstream.merge(upstream, count, Integer::sum);
+		}
+	}
+
+	Map<String, Double> demandByLimit() {
+		return this.demandByLimit;
+	}
+
+	DemandReport report() {
+		return new DemandReport(Map.copyOf(this.demandByLimit), Map.copyOf(this.inFlightByUpstream));
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTicket.java
@@ -0,0 +1,227 @@
+package org.cyclamenstall.internal.policy;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.internal.policy.queue.QueuedRequest;
+import org.cyclamenstall.internal.policy.upstream.Upstream;
+import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.RequestFacts;
+import org.cyclamenstall.policy.RetryDecision;
+import org.cyclamenstall.policy.RetryReason;
+import org.cyclamenstall.policy.Ticket;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Stands for one request. The fields that change are guarded by the controller's lock.
+ * While it waits it has a listener, which is taken exactly once. Thread-safe.
+ */
+final class PolicyTicket implements Ticket, QueuedRequest {
+
+	private final PolicyTrafficController controller;
+
+	private final RequestFacts facts;
+
+	private final Set<Upstream> tried = new HashSet<>();
+
+	private double reservedTokens;
+
+	private volatile long chargedTokens = Long.MAX_VALUE;
+
+	private @Nullable ServicePool pool;
+
+	private @Nullable GrantListener waitingListener;
+
+	private long waitingSinceNanos;
+
+	private long deadlineNanos;
+
+	private boolean hasDeadline;
+
+	private boolean answeredInPart;
+
+	private int attempts;
+
+	private int countedAttempts;
+
+	private int preemptions;
+
+	private boolean admitted;
+
+	private boolean finished;
+
+	PolicyTicket(PolicyTrafficController controller, RequestFacts facts) {
+		this.controller = controller;
+		this.facts = facts;
+	}
+
+	@Override
+	public boolean withdraw() {
+		return this.controller.withdraw(this);
+	}
+
+	@Override
+	public RetryDecision retry(RetryReason reason, GrantListener listener) {
+		return this.controller.retry(this, reason, listener);
+	}
+
+	@Override
+	public Optional<Duration> hedgeDelay() {
+		return this.controller.hedgeDelay(this);
+	}
+
+	@Override
+	public RetryDecision hedge(GrantListener listener) {
+		return this.controller.hedge(this, listener);
+	}
+
+	@Override
+	public void finish(long generatedTokens) {
+		this.controller.finish(this, generatedTokens);
+	}
+
+	@Override
+	public Tier tier() {
+		return this.facts.tier();
+	}
+
+	@Override
+	public String accountName() {
+		return this.facts.account().name();
+	}
+
+	@Override
+	public double cost() {
+		return Math.max(1, this.reservedTokens);
+	}
+
+	@Override
+	public long arrivalNanos() {
+		return this.facts.arrivalNanos();
+	}
+
+	@Override
+	public boolean sheddable() {
+		return !this.answeredInPart;
+	}
+
+	RequestFacts facts() {
+		return this.facts;
+	}
+
+	void admitted(ServicePool admittingPool, double tokens) {
+		this.pool = admittingPool;
+		this.reservedTokens = tokens;
+		this.chargedTokens = (long) Math.ceil(Math.max(0, tokens - this.facts.promptTokens()));
+		this.admitted = true;
+	}
+
+	boolean isAdmitted() {
+		return this.admitted;
+	}
+
+	ServicePool pool() {
+		if (this.pool == null) {
+			throw new IllegalStateException("The request was not admitted");
+		}
+		return this.pool;
+	}
+
+	double reservedTokens() {
+		return this.reservedTokens;
+	}
+
+	long chargedTokens() {
+		return this.chargedTokens;
+	}
+
+	void chargedTokens(long tokens) {
+		this.chargedTokens = tokens;
+	}
+
+	void startWaiting(GrantListener listener, long nowNanos) {
+		this.waitingListener = listener;
+		this.waitingSinceNanos = nowNanos;
+	}
+
+	long waitingSinceNanos() {
+		return this.waitingSinceNanos;
+	}
+
+	boolean isWaiting() {
+		return this.waitingListener != null;
+	}
+
+	GrantListener stopWaiting() {
+		GrantListener listener = this.waitingListener;
+		if (listener == null) {
+			throw new IllegalStateException("The request does not wait");
+		}
+		this.waitingListener = null;
+		return listener;
+	}
+
+	void setDeadline(long nanos) {
+		this.deadlineNanos = nanos;
+		this.hasDeadline = true;
+	}
+
+	void clearDeadline() {
+		this.hasDeadline = false;
+	}
+
+	boolean hasDeadline() {
+		return this.hasDeadline;
+	}
+
+	long deadlineNanos() {
+		return this.deadlineNanos;
+	}
+
+	void answeredInPart() {
+		this.answeredInPart = true;
+	}
+
+	boolean isAnsweredInPart() {
+		return this.answeredInPart;
+	}
+
+	int nextAttempt() {
+		this.attempts++;
+		return this.attempts;
+	}
+
+	int attempts() {
+		return this.attempts;
+	}
+
+	int countedAttempts() {
+		return this.countedAttempts;
+	}
+
+	void countAttempt() {
+		this.countedAttempts++;
+	}
+
+	int preemptions() {
+		return this.preemptions;
+	}
+
+	void countPreemption() {
+		this.preemptions++;
+	}
+
+	Set<Upstream> tried() {
+		return this.tried;
+	}
+
+	boolean finishOnce() {
+		boolean first = !this.finished;
+		this.finished = true;
+		return first;
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
@@ -0,0 +1,534 @@
+package org.cyclamenstall.internal.policy;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.catalogue.CatalogueEntry;
+import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.hosts.HostList;
+import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.internal.policy.limits.LimitBook;
+import org.cyclamenstall.internal.policy.limits.LimitShare;
+import org.cyclamenstall.internal.policy.limits.PeerDemand;
+import org.cyclamenstall.internal.policy.upstream.Upstream;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.policy.AttemptResult;
+import org.cyclamenstall.policy.DemandExchange;
+import org.cyclamenstall.policy.DemandReport;
+import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.RequestFacts;
+import org.cyclamenstall.policy.RetryDecision;
+import org.cyclamenstall.policy.RetryReason;
+import org.cyclamenstall.policy.Ticket;
+import org.cyclamenstall.policy.TrafficController;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides on requests by the policies that the settings name. Every submitted request is
+ * granted, refused or withdrawn exactly once; a slot is held by at most one attempt. One
+ * lock guards all state; listeners are called after its release. Thread-safe.
+ */
+public final class PolicyTrafficController implements TrafficController, DemandExchange {
+
+	private static final Logger logger = LogManager.getLogger(PolicyTrafficController.class);
+
+	private static final long TICK_MILLIS = 20;
+
+	private static final long REFRESH_NANOS = 100_000_000L;
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final Outbox outbox = new Outbox();
+
+	private final Map<String, ServicePool> pools = new HashMap<>();
+
+	private final TimedRequests deadlines = new TimedRequests();
+
+	private final TimedRequests delayed = new TimedRequests();
+
+	private final PeerDemand peers = new PeerDemand();
+
+	private final OutputEstimate estimate = new OutputEstimate();
+
+	private final PolicySet policies;
+
+	private final HostList hosts;
+
+	private final MonotonicClock clock;
+
+	private final LimitShare share;
+
+	private final LimitBook limits;
+
+	private final Admission admission;
+
+	private final Dispatcher dispatcher;
+
+	private final RetryRule retryRule;
+
+	private final DecisionRecorder recorder;
+
+	private @Nullable ScheduledExecutorService timer;
+
+	private HostSnapshot snapshot = HostSnapshot.EMPTY;
+
+	private boolean draining;
+
+	private int unfinished;
+
+	private long refreshedAtNanos;
+
+	PolicyTrafficController(PolicySet policies, HostList hosts, MonotonicClock clock, PolicyMetrics metrics,
+			DecisionLog log) {
+		this.policies = policies;
+		this.hosts = hosts;
+		this.clock = clock;
+		this.share = policies.newLimitShare();
+		this.limits = new LimitBook(this.share, this.peers);
+		this.admission = new Admission(this.limits, this.estimate, policies.settings().queueLength());
+		this.recorder = new DecisionRecorder(metrics, log);
+		this.dispatcher = new Dispatcher(this, policies, this.recorder, this.outbox);
+		this.retryRule = new RetryRule(policies.settings(), policies.random());
+	}
+
+	@Override
+	public void start() {
+		ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "policy-timer");
+			thread.setDaemon(true);
+			return thread;
+		});
+		executor.scheduleWithFixedDelay(this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.timer = executor;
+	}
+
+	@Override
+	public void close() {
+		if (this.timer != null) {
+			this.timer.shutdownNow();
+		}
+	}
+
+	private void tickSafely() {
+		try {
+			tick(this.clock.nanoTime());
+		}
+		catch (RuntimeException ex) {
+			logger.error("The timer of the traffic controller failed", ex);
+		}
+	}
+
+	/**
+	 * Does what is due: deadlines, delayed retries, ends of ejections.
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	public void tick(long nowNanos) {
+		decide(() -> {
+			resumeDelayed(nowNanos);
+			expire(nowNanos);
+			boolean refresh = nowNanos - this.refreshedAtNanos >= REFRESH_NANOS;
+			this.refreshedAtNanos = refresh ? nowNanos : this.refreshedAtNanos;
+			for (ServicePool pool : this.pools.values()) {
+				if (refresh) {
+					pool.refresh(nowNanos);
+				}
+				this.dispatcher.dispatch(pool, nowNanos);
+			}
+			return null;
+		});
+	}
+
+	private void resumeDelayed(long nowNanos) {
+		PolicyTicket ticket = this.delayed.pollDue(nowNanos);
+		while (ticket != null) {
+			ticket.pool().queue().addFirst(ticket);
+			ticket = this.delayed.pollDue(nowNanos);
+		}
+	}
+
+	private void expire(long nowNanos) {
+		PolicyTicket ticket = this.deadlines.pollDue(nowNanos);
+		while (ticket != null) {
+			refuseWaiting(ticket, ErrorKind.DEADLINE_EXCEEDED, nowNanos);
+			ticket = this.deadlines.pollDue(nowNanos);
+		}
+	}
+
+	@Override
+	public Ticket submit(RequestFacts facts, GrantListener listener) {
+		PolicyTicket ticket = new PolicyTicket(this, facts);
+		decide(() -> {
+			long nowNanos = this.clock.nanoTime();
+			this.unfinished++;
+			ticket.startWaiting(listener, nowNanos);
+			ErrorKind refusal = admit(ticket, nowNanos);
+			if (refusal != null) {
+				refuse(ticket, refusal, nowNanos);
+			}
+			return null;
+		});
+		return ticket;
+	}
+
+	private @Nullable ErrorKind admit(PolicyTicket ticket, long nowNanos) {
+		if (this.draining) {
+			return ErrorKind.SHUTTING_DOWN;
+		}
+		RequestFacts facts = ticket.facts();
+		String service = facts.entry().upstreams();
+		ServicePool pool = (service != null) ? poolOf(service, nowNanos) : null;
+		if (pool == null || !pool.hasLive(nowNanos)) {
+			return ErrorKind.NO_LIVE_UPSTREAM;
+		}
+		double tokens = this.admission.expectedTokens(facts);
+		ErrorKind refusal = this.admission.admit(facts, tokens, nowNanos);
+		if (refusal != null) {
+			return refusal;
+		}
+		ticket.admitted(pool, tokens);
+		this.retryRule.firstAttempt();
+		this.admission.setDeadline(ticket, facts.arrivalNanos());
+		return enqueue(ticket, pool, nowNanos);
+	}
+
+	private @Nullable ErrorKind enqueue(PolicyTicket ticket, ServicePool pool, long nowNanos) {
+		if (this.admission.isUnreachable(ticket, pool, nowNanos)) {
+			return ErrorKind.DEADLINE_UNREACHABLE;
+		}
+		if ((this.admission.isFull(pool, ticket.tier()) || this.admission.isCrowded(pool))
+				&& !makeRoom(ticket, pool, nowNanos) && ticket.tier() != Tier.INTERACTIVE) {
+			return ErrorKind.QUEUE_FULL;
+		}
+		pool.queue().add(ticket);
+		pool.demandChanged(nowNanos);
+		if (ticket.hasDeadline()) {
+			this.deadlines.put(ticket, ticket.deadlineNanos());
+		}
+		this.dispatcher.dispatch(pool, nowNanos);
+		if (ticket.isWaiting()) {
+			this.recorder.queued(ticket, nowNanos);
+		}
+		return null;
+	}
+
+	private boolean makeRoom(PolicyTicket ticket, ServicePool pool, long nowNanos) {
+		PolicyTicket victim = pool.queue().victimFor(ticket.tier());
+		if (victim == null) {
+			return false;
+		}
+		Tier lowest = pool.lowestWaiting();
+		stoppedWaiting(victim);
+		pool.queue().remove(victim);
+		this.recorder.shed(victim, ticket.tier(), lowest, nowNanos);
+		tellRefused(victim, ErrorKind.SHED);
+		return true;
+	}
+
+	void stoppedWaiting(PolicyTicket ticket) {
+		this.deadlines.remove(ticket);
+		this.delayed.remove(ticket);
+	}
+
+	private void refuseWaiting(PolicyTicket ticket, ErrorKind kind, long nowNanos) {
+		stoppedWaiting(ticket);
+		ticket.pool().queue().remove(ticket);
+		refuse(ticket, kind, nowNanos);
+	}
+
+	private void refuse(PolicyTicket ticket, ErrorKind kind, long nowNanos) {
+		this.recorder.refused(ticket, kind, ticket.isAdmitted() ? ticket.pool().lowestWaiting() : null, nowNanos);
+		tellRefused(ticket, kind);
+	}
+
+	private void tellRefused(PolicyTicket ticket, ErrorKind kind) {
+		GrantListener listener = ticket.stopWaiting();
+		if (ticket.attempts() == 0) {
+			settle(ticket, 0);
+		}
+		String detail = RefusalDetail.of(kind, ticket.facts());
+		this.outbox.add(() -> listener.refused(kind, detail));
+	}
+
+	boolean withdraw(PolicyTicket ticket) {
+		return decide(() -> {
+			if (!ticket.isWaiting()) {
+				return false;
+			}
+			stoppedWaiting(ticket);
+			ticket.pool().queue().remove(ticket);
+			ticket.stopWaiting();
+			if (ticket.attempts() == 0) {
+				settle(ticket, 0);
+			}
+			return true;
+		});
+	}
+
+	RetryDecision retry(PolicyTicket ticket, RetryReason reason, GrantListener listener) {
+		return decide(() -> {
+			long nowNanos = this.clock.nanoTime();
+			RetryDecision decision = this.retryRule.decide(ticket, reason, nowNanos);
+			this.recorder.metrics().retried(reason, decision);
+			if (decision == RetryDecision.GRANTED) {
+				waitAgain(ticket, reason, listener, nowNanos);
+			}
+			return decision;
+		});
+	}
+
+	private void waitAgain(PolicyTicket ticket, RetryReason reason, GrantListener listener, long nowNanos) {
+		ticket.startWaiting(listener, nowNanos);
+		ticket.clearDeadline();
+		if (!ticket.isAnsweredInPart()) {
+			this.admission.setDeadline(ticket, nowNanos);
+			if (ticket.hasDeadline()) {
+				this.deadlines.put(ticket, ticket.deadlineNanos());
+			}
+		}
+		long pauseNanos = this.retryRule.pauseNanos(ticket, reason);
+		if (pauseNanos > 0) {
+			this.delayed.put(ticket, nowNanos + pauseNanos);
+			return;
+		}
+		ticket.pool().queue().addFirst(ticket);
+		this.dispatcher.dispatch(ticket.pool(), nowNanos);
+	}
+
+	Optional<Duration> hedgeDelay(PolicyTicket ticket) {
+		return decide(() -> this.policies.hedges() ? this.retryRule.hedgeDelay(ticket) : Optional.empty());
+	}
+
+	RetryDecision hedge(PolicyTicket ticket, GrantListener listener) {
+		return decide(() -> {
+			long nowNanos = this.clock.nanoTime();
+			RetryDecision decision = tryHedge(ticket, listener, nowNanos);
+			this.recorder.metrics().retried(RetryReason.HEDGE, decision);
+			return decision;
+		});
+	}
+
+	private RetryDecision tryHedge(PolicyTicket ticket, GrantListener listener, long nowNanos) {
+		ServicePool pool = ticket.pool();
+		if (!this.policies.hedges() || pool.queue().size(ticket.tier()) > 0 || !pool.hasOtherLive(ticket, nowNanos)) {
+			return RetryDecision.NO_UPSTREAM;
+		}
+		Upstream upstream = pool.findUpstream(ticket, false, nowNanos);
+		if (upstream == null) {
+			return RetryDecision.NO_UPSTREAM;
+		}
+		RetryDecision decision = this.retryRule.decide(ticket, RetryReason.HEDGE, nowNanos);
+		if (decision == RetryDecision.GRANTED) {
+			ticket.startWaiting(listener, nowNanos);
+			ticket.stopWaiting();
+			this.dispatcher.start(ticket, listener, upstream, DecisionType.HEDGED, nowNanos);
+		}
+		return decision;
+	}
+
+	void finish(PolicyTicket ticket, long generatedTokens) {
+		decide(() -> {
+			settle(ticket, generatedTokens);
+			return null;
+		});
+	}
+
+	private void settle(PolicyTicket ticket, long generatedTokens) {
+		if (!ticket.finishOnce()) {
+			return;
+		}
+		this.unfinished--;
+		if (!ticket.isAdmitted()) {
+			return;
+		}
+		RequestFacts facts = ticket.facts();
+		if (ticket.attempts() == 0) {
+			this.limits.cancel(facts.entry(), facts.account(), ticket.reservedTokens());
+			return;
+		}
+		this.limits.charge(facts.entry(), facts.account(), generatedTokens - ticket.chargedTokens());
+		this.limits.release(facts.entry(), facts.account());
+		this.estimate.ended(facts, generatedTokens);
+	}
+
+	long nowNanos() {
+		return this.clock.nanoTime();
+	}
+
+	void firstToken(PolicyGrant grant) {
+		decide(() -> {
+			long nowNanos = this.clock.nanoTime();
+			if (grant.startAnswering(nowNanos)) {
+				long duration = nowNanos - grant.startedAtNanos();
+				grant.ticket().answeredInPart();
+				grant.ticket().pool().firstToken(grant, duration, nowNanos);
+			}
+			return null;
+		});
+	}
+
+	void tokensBeyondCharge(PolicyGrant grant, long total) {
+		decide(() -> {
+			PolicyTicket ticket = grant.ticket();
+			long beyond = total - ticket.chargedTokens();
+			if (beyond > 0) {
+				this.limits.charge(ticket.facts().entry(), ticket.facts().account(), beyond);
+				ticket.chargedTokens(total);
+			}
+			return null;
+		});
+	}
+
+	void loadReported(PolicyGrant grant, int running, int slots, long ageMillis) {
+		decide(() -> {
+			grant.upstreamState()
+				.loadReported(running, slots, TimeUnit.MILLISECONDS.toNanos(ageMillis), this.clock.nanoTime());
+			return null;
+		});
+	}
+
+	void upstreamDraining(PolicyGrant grant) {
+		decide(() -> {
+			grant.upstreamState().health().draining(this.clock.nanoTime());
+			return null;
+		});
+	}
+
+	void ended(PolicyGrant grant, AttemptResult result) {
+		decide(() -> {
+			if (grant.end()) {
+				long nowNanos = this.clock.nanoTime();
+				ServicePool pool = grant.ticket().pool();
+				this.admission.occupied(nowNanos - grant.startedAtNanos());
+				pool.ended(grant, result, nowNanos);
+				this.dispatcher.dispatch(pool, nowNanos);
+			}
+			return null;
+		});
+	}
+
+	@Override
+	public void drain() {
+		decide(() -> this.draining = true);
+	}
+
+	@Override
+	public int unfinished() {
+		return decide(() -> this.unfinished);
+	}
+
+	@Override
+	public DemandReport localDemand() {
+		return decide(() -> {
+			DemandCollector collector = new DemandCollector();
+			this.limits.addDemand(collector.demandByLimit(), this.clock.nanoTime());
+			this.pools.values().forEach((pool) -> pool.addDemand(collector));
+			DemandReport report = collector.report();
+			this.peers.sent(report);
+			return report;
+		});
+	}
+
+	@Override
+	public void peerDemand(String host, DemandReport report) {
+		decide(() -> {
+			this.peers.received(host, report, this.clock.nanoTime());
+			return null;
+		});
+	}
+
+	@Override
+	public void liveHosts(Set<String> names) {
+		decide(() -> {
+			this.peers.liveHosts(names);
+			return null;
+		});
+	}
+
+	void hostsChanged(HostSnapshot newer) {
+		decide(() -> {
+			long nowNanos = this.clock.nanoTime();
+			this.snapshot = newer;
+			for (ServicePool pool : this.pools.values()) {
+				pool.listed(newer.hosts(pool.service()));
+				pool.refresh(nowNanos);
+				this.dispatcher.dispatch(pool, nowNanos);
+			}
+			return null;
+		});
+	}
+
+	private ServicePool poolOf(String service, long nowNanos) {
+		ServicePool pool = this.pools.get(service);
+		if (pool == null) {
+			pool = new ServicePool(service, this.policies, this.share, this.peers);
+			pool.listed(this.snapshot.hosts(service));
+			pool.refresh(nowNanos);
+			this.pools.put(service, pool);
+			this.hosts.watch(service);
+		}
+		return pool;
+	}
+
+	void watch(CatalogueEntry entry) {
+		if (entry.upstreams() != null) {
+			this.hosts.watch(entry.upstreams());
+		}
+	}
+
+	void reportQueues(GaugeSink sink) {
+		decide(() -> {
+			this.pools.values().forEach((pool) -> {
+				for (Tier tier : Tier.values()) {
+					sink.accept(pool.queue().size(tier), pool.service(), tier.label());
+				}
+			});
+			return null;
+		});
+	}
+
+	void reportInFlight(GaugeSink sink) {
+		decide(() -> {
+			this.pools.values()
+				.forEach((pool) -> pool.upstreams()
+					.forEach((upstream) -> sink.accept(upstream.inFlight(), upstream.host().host())));
+			return null;
+		});
+	}
+
+	void reportWindows(GaugeSink sink) {
+		decide(() -> {
+			this.pools.values()
+				.forEach((pool) -> pool.upstreams()
+					.forEach((upstream) -> sink.accept(pool.slotRules().allowed(upstream), upstream.host().host())));
+			return null;
+		});
+	}
+
+	private <T extends @Nullable Object> T decide(Supplier<T> decision) {
+		List<Runnable> calls;
+		T result;
+		this.lock.lock();
+		try {
+			result = decision.get();
+		}
+		finally {
+			calls = this.outbox.take();
+			this.lock.unlock();
+			Outbox.deliver(calls);
+		}
+		return result;
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/RefusalDetail.java
@@ -0,0 +1,30 @@
+package org.cyclamenstall.internal.policy;
+
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.policy.RequestFacts;
+
+/**
+ * Words the details of refusals for callers.
+ */
+final class RefusalDetail {
+
+	private RefusalDetail() {
+	}
+
+	static String of(ErrorKind kind, RequestFacts facts) {
+		String entry = facts.entry().name();
+		String tier = facts.tier().label();
+		return switch (kind) {
+			case REQUEST_RATE_LIMITED, CONCURRENCY_LIMITED, TOKEN_RATE_LIMITED ->
+				"A limit of client account " + facts.account().name() + " or of entry " + entry + " is reached";
+			case QUEUE_FULL -> "The queue of class " + tier + " is full";
+			case SHED -> "The request of class " + tier + " was dropped in favour of a higher class";
+			case DEADLINE_UNREACHABLE -> "The request would wait longer than entry " + entry + " allows";
+			case DEADLINE_EXCEEDED -> "The request waited longer than entry " + entry + " allows";
+			case NO_LIVE_UPSTREAM -> "No live upstream serves entry " + entry;
+			case SHUTTING_DOWN -> "The daemon is shutting down";
+			default -> "The request was refused: " + kind.code();
+		};
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/RetryRule.java
@@ -0,0 +1,71 @@
+package org.cyclamenstall.internal.policy;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.internal.policy.upstream.LatencyWindow;
+import org.cyclamenstall.policy.RetryDecision;
+import org.cyclamenstall.policy.RetryReason;
+import org.cyclamenstall.settings.PolicySettings;
+
+/**
+ * Decides on further attempts. A preempted request always gets another one; every other
+ * attempt after the first is paid from the retry budget. Not thread-safe: the
+ * controller's lock guards it.
+ */
+final class RetryRule {
+
+	private static final int LEAST_SAMPLES = 20;
+
+	private static final long LEAST_HEDGE_NANOS = 20_000_000L;
+
+	private final RetryBudget budget;
+
+	private final Backoff backoff;
+
+	private final int maximumAttempts;
+
+	RetryRule(PolicySettings settings, UniformRandomProvider random) {
+		this.budget = new RetryBudget(settings.retryShare());
+		this.backoff = new Backoff(random);
+		this.maximumAttempts = settings.maximumAttempts();
+	}
+
+	void firstAttempt() {
+		this.budget.firstAttempt();
+	}
+
+	RetryDecision decide(PolicyTicket ticket, RetryReason reason, long nowNanos) {
+		if (reason == RetryReason.PREEMPTED) {
+			return RetryDecision.GRANTED;
+		}
+		if (ticket.countedAttempts() + 1 >= this.maximumAttempts) {
+			return RetryDecision.ATTEMPTS_EXHAUSTED;
+		}
+		if (!ticket.pool().hasLive(nowNanos)
+				|| (reason == RetryReason.UNREACHABLE && !ticket.pool().hasOtherLive(ticket, nowNanos))) {
+			return RetryDecision.NO_UPSTREAM;
+		}
+		if (!this.budget.take()) {
+			return RetryDecision.BUDGET_SPENT;
+		}
+		ticket.countAttempt();
+		return RetryDecision.GRANTED;
+	}
+
+	long pauseNanos(PolicyTicket ticket, RetryReason reason) {
+		return this.backoff.pauseNanos(reason, ticket.countedAttempts());
+	}
+
+	Optional<Duration> hedgeDelay(PolicyTicket ticket) {
+		LatencyWindow usual = ticket.pool().usual();
+		if (ticket.tier() != Tier.INTERACTIVE || !ticket.facts().idempotent() || !ticket.facts().streamed()
+				|| usual.count() < LEAST_SAMPLES) {
+			return Optional.empty();
+		}
+		return Optional.of(Duration.ofNanos(Math.max(LEAST_HEDGE_NANOS, usual.tailNanos())));
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/TrafficControllers.java
@@ -0,0 +1,71 @@
+package org.cyclamenstall.internal.policy;
+
+import java.util.Objects;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenstall.catalogue.Catalogue;
+import org.cyclamenstall.catalogue.CatalogueView;
+import org.cyclamenstall.hosts.HostList;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.settings.PolicySettings;
+
+/**
+ * Creates traffic controllers.
+ */
+public final class TrafficControllers {
+
+	private TrafficControllers() {
+	}
+
+	/**
+	 * Creates a controller that logs its decisions.
+	 * @param settings the names and bounds of the policies
+	 * @param catalogue the catalogue, whose upstream services are watched
+	 * @param hosts the platform's list of hosts
+	 * @param failureDomain the failure domain of this daemon
+	 * @param clock the monotonic clock
+	 * @param random the source of randomness
+	 * @param metrics the registry of metrics
+	 * @return the controller
+	 */
+	public static PolicyTrafficController create(PolicySettings settings, CatalogueView catalogue, HostList hosts,
+			String failureDomain, MonotonicClock clock, UniformRandomProvider random, PrometheusRegistry metrics) {
+		return create(settings, catalogue, hosts, failureDomain, clock, random, metrics, new LoggedDecisions());
+	}
+
+	/**
+	 * Creates a controller.
+	 * @param settings the names and bounds of the policies
+	 * @param catalogue the catalogue, whose upstream services are watched
+	 * @param hosts the platform's list of hosts
+	 * @param failureDomain the failure domain of this daemon
+	 * @param clock the monotonic clock
+	 * @param random the source of randomness
+	 * @param metrics the registry of metrics
+	 * @param log takes each decision
+	 * @return the controller
+	 */
+	public static PolicyTrafficController create(PolicySettings settings, CatalogueView catalogue, HostList hosts,
+			String failureDomain, MonotonicClock clock, UniformRandomProvider random, PrometheusRegistry metrics,
+			DecisionLog log) {
+		PolicySet policies = new PolicySet(settings, failureDomain, random);
+		PolicyMetrics policyMetrics = new PolicyMetrics(metrics);
+		PolicyTrafficController controller = new PolicyTrafficController(policies, hosts, clock, policyMetrics, log);
+		policyMetrics.registerGauges(metrics, controller);
+		controller.hostsChanged(hosts.current());
+		hosts.addListener(controller::hostsChanged);
+		watchServices(catalogue.current(), controller);
+		catalogue.addListener((newer) -> watchServices(newer, controller));
+		return controller;
+	}
+
+	private static void watchServices(Catalogue catalogue, PolicyTrafficController controller) {
+		catalogue.records()
+			.stream()
+			.map((record) -> record.entry())
+			.filter(Objects::nonNull)
+			.forEach(controller::watch);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/queue/FifoScheduler.java
@@ -0,0 +1,72 @@
+package org.cyclamenstall.internal.policy.queue;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import org.cyclamenstall.catalogue.Tier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Serves requests in order of arrival whatever their tier: the baseline. Drops nothing in
+ * favour of another. Not thread-safe.
+ *
+ * @param <T> the type of request
+ */
+public final class FifoScheduler<T extends QueuedRequest> implements Scheduler<T> {
+
+	private final Deque<T> requests = new ArrayDeque<>();
+
+	private final int[] sizes = new int[Tier.values().length];
+
+	@Override
+	public void add(T request) {
+		this.requests.addLast(request);
+		this.sizes[request.tier().ordinal()]++;
+	}
+
+	@Override
+	public void addFirst(T request) {
+		this.requests.addFirst(request);
+		this.sizes[request.tier().ordinal()]++;
+	}
+
+	@Override
+	public boolean remove(T request) {
+		boolean removed = this.requests.remove(request);
+		if (removed) {
+			this.sizes[request.tier().ordinal()]--;
+		}
+		return removed;
+	}
+
+	@Override
+	public @Nullable T poll(long nowNanos, SlotFinder<T> slotFinder) {
+		T head = this.requests.peekFirst();
+		if (head == null || !slotFinder.find(head, SlotClaim.TURN)) {
+			return null;
+		}
+		remove(head);
+		return head;
+	}
+
+	@Override
+	public @Nullable T victimFor(Tier arriving) {
+		return null;
+	}
+
+	@Override
+	public int size(Tier tier) {
+		return this.sizes[tier.ordinal()];
+	}
+
+	@Override
+	public int size() {
+		return this.requests.size();
+	}
+
+	@Override
+	public int ahead(Tier tier) {
+		return this.requests.size();
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/queue/TierQueue.java
@@ -0,0 +1,159 @@
+package org.cyclamenstall.internal.policy.queue;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.TreeSet;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds the waiting requests of one tier and divides it among client accounts by deficit
+ * round robin. Each account with a waiting request is in the round exactly once. Not
+ * thread-safe.
+ *
+ * @param <T> the type of request
+ */
+final class TierQueue<T extends QueuedRequest> {
+
+	private static final double QUANTUM_TOKENS = 1_000;
+
+	private static final double LARGEST_COST_TOKENS = 4 * QUANTUM_TOKENS;
+
+	private static final int HEADS_TRIED = 8;
+
+	private final Map<String, AccountQueue<T>> accounts = new HashMap<>();
+
+	private final Deque<AccountQueue<T>> round = new ArrayDeque<>();
+
+	private final TreeSet<Arrival<T>> byArrival = new TreeSet<>();
+
+	private final Map<T, Arrival<T>> arrivals = new HashMap<>();
+
+	private final LinkedHashSet<T> resumed = new LinkedHashSet<>();
+
+	private long sequence;
+
+	void add(T request) {
+		index(request);
+		accountOf(request).add(request);
+	}
+
+	void addFirst(T request) {
+		index(request);
+		this.resumed.add(request);
+	}
+
+	private void index(T request) {
+		Arrival<T> arrival = new Arrival<>(request.arrivalNanos(), this.sequence++, request);
+		this.arrivals.put(request, arrival);
+		this.byArrival.add(arrival);
+	}
+
+	private AccountQueue<T> accountOf(T request) {
+		AccountQueue<T> account = this.accounts.get(request.accountName());
+		if (account == null) {
+			account = new AccountQueue<>();
+			this.accounts.put(request.accountName(), account);
+			this.round.addLast(account);
+		}
+		return account;
+	}
+
+	boolean remove(T request) {
+		Arrival<T> arrival = this.arrivals.remove(request);
+		if (arrival == null) {
+			return false;
+		}
+		this.byArrival.remove(arrival);
+		if (!this.resumed.remove(request)) {
+			removeFromAccount(request);
+		}
+		return true;
+	}
+
+	private void removeFromAccount(T request) {
+		AccountQueue<T> account = this.accounts.get(request.accountName());
+		if (account != null && account.remove(request) && account.isEmpty()) {
+			this.accounts.remove(request.accountName());
+			this.round.remove(account);
+		}
+	}
+
+	@Nullable T poll(SlotFinder<T> slotFinder) {
+		T found = pollResumed(slotFinder);
+		return (found != null) ? found : pollRound(slotFinder);
+	}
+
+	private @Nullable T pollResumed(SlotFinder<T> slotFinder) {
+		Iterator<T> iterator = this.resumed.iterator();
+		T head = iterator.hasNext() ? iterator.next() : null;
+		return take(head, slotFinder);
+	}
+
+	private @Nullable T pollRound(SlotFinder<T> slotFinder) {
+		int tries = Math.min(HEADS_TRIED, this.round.size());
+		for (int tried = 0; tried < tries; tried++) {
+			AccountQueue<T> account = nextInRound();
+			T head = account.head();
+			double cost = (head != null) ? Math.min(head.cost(), LARGEST_COST_TOKENS) : 0;
+			if (take(head, slotFinder) != null) {
+				account.spend(cost);
+				return head;
+			}
+			this.round.addLast(this.round.removeFirst());
+		}
+		return null;
+	}
+
+	private @Nullable T take(@Nullable T head, SlotFinder<T> slotFinder) {
+		if (head == null || !slotFinder.find(head, SlotClaim.TURN)) {
+			return null;
+		}
+		remove(head);
+		return head;
+	}
+
+	private AccountQueue<T> nextInRound() {
+		while (true) {
+			AccountQueue<T> account = this.round.getFirst();
+			T head = account.head();
+			if (head == null || account.deficitTokens() >= Math.min(head.cost(), LARGEST_COST_TOKENS)) {
+				return account;
+			}
+			account.earn(QUANTUM_TOKENS);
+			this.round.addLast(this.round.removeFirst());
+		}
+	}
+
+	@Nullable T oldest() {
+		return this.byArrival.isEmpty() ? null : this.byArrival.first().request();
+	}
+
+	@Nullable T newestSheddable() {
+		for (Arrival<T> arrival : this.byArrival.descendingSet()) {
+			if (arrival.request().sheddable()) {
+				return arrival.request();
+			}
+		}
+		return null;
+	}
+
+	int size() {
+		return this.arrivals.size();
+	}
+
+	private record Arrival<T>(long nanos, long sequence, T request) implements Comparable<Arrival<T>> {
+
+		@Override
+		public int compareTo(Arrival<T> other) {
+			int order = Long.compare(this.nanos - other.nanos, 0);
+			return (order != 0) ? order : Long.compare(this.sequence, other.sequence);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/queue/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The order of waiting requests.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.internal.policy.queue;
