--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/FaultRule.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/FaultRule.java
@@ -4,11 +4,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 
 /**
  * Describes one fault and counts how often it was brought about. A rule applies to the
- * bytes of one direction, of all connections or of those whose latest request contains a
- * text, from a number of bytes on. Thread-safe.
+ * bytes of one direction, of all connections or of those whose latest request matches an
+ * expression, from a number of bytes on. Thread-safe.
  */
 public final class FaultRule {
 
@@ -16,7 +17,7 @@
 
 	private final FaultAction action;
 
-	private final String requestText;
+	private final Pattern request;
 
 	private final int afterBytes;
 
@@ -33,7 +34,7 @@
 	private FaultRule(Builder builder) {
 		this.direction = builder.direction;
 		this.action = builder.action;
-		this.requestText = builder.requestText;
+		this.request = Pattern.compile(builder.request);
 		this.afterBytes = builder.afterBytes;
 		this.maximumHits = builder.maximumHits;
 		this.delay = builder.delay;
@@ -91,8 +92,8 @@
 		return this.afterBytes;
 	}
 
-	boolean concerns(Direction bytesDirection, String request, long answeredBytes, int length) {
-		return this.direction == bytesDirection && request.contains(this.requestText)
+	boolean concerns(Direction bytesDirection, String text, long answeredBytes, int length) {
+		return this.direction == bytesDirection && this.request.matcher(text).find()
 				&& answeredBytes + length > this.afterBytes;
 	}
 
@@ -117,7 +118,7 @@
 
 		private final FaultAction action;
 
-		private String requestText = "";
+		private String request = "";
 
 		private int afterBytes;
 
@@ -131,12 +132,13 @@
 		}
 
 		/**
-		 * Limits the rule to connections whose latest request contains a text.
-		 * @param text the text
+		 * Limits the rule to connections whose latest request contains a match of a
+		 * regular expression.
+		 * @param expression the expression
 		 * @return this builder
 		 */
-		public Builder matching(String text) {
-			this.requestText = text;
+		public Builder matching(String expression) {
+			this.request = expression;
 			return this;
 		}
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DaemonInstance.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DaemonInstance.java
@@ -143,7 +143,7 @@
 	 * @return the revision
 	 */
 	public long catalogueRevision() {
-		return this.operators.get("/v1/status").json().path("catalogue_revision").asLong(0);
+		return this.operators.get("/v1/status").json().path("catalogueRevision").asLong(0);
 	}
 
 	/**
