Assemble the daemon from its services

The parts had no program: the daemon registers store, host list, traffic, peers, catalogue watcher, claims, operators' and callers' port by name, starts them in that order and closes them in reverse. Peers and claims refer to each other; the peers find the claims by name at the first question, which was weighed against a setter and kept because no half-built object is handed out.

--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
@@ -0,0 +1,205 @@
+package org.cyclamenstall.internal.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.hosts.HostList;
+import org.cyclamenstall.internal.catalogue.CatalogueWatcher;
+import org.cyclamenstall.internal.catalogue.LocalCatalogue;
+import org.cyclamenstall.internal.claims.StoreClaimRegistry;
+import org.cyclamenstall.internal.gateway.CallerServer;
+import org.cyclamenstall.internal.hosts.ConsulHostList;
+import org.cyclamenstall.internal.operators.OperatorServer;
+import org.cyclamenstall.internal.operators.Readiness;
+import org.cyclamenstall.internal.peers.PeerExchange;
+import org.cyclamenstall.internal.policy.PolicyTrafficController;
+import org.cyclamenstall.internal.policy.TrafficControllers;
+import org.cyclamenstall.internal.store.ConsulConfigurationStore;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.kernel.ServiceRegistry;
+import org.cyclamenstall.lib.ServiceNames;
+import org.cyclamenstall.settings.DaemonSettings;
+
+/**
+ * Assembles a daemon from its services and ends it in order. The services are registered
+ * after those that they look up; peers and claims refer to each other, so the peers find
+ * the claims by name at the first question. Used by one thread.
+ */
+public final class Daemon implements AutoCloseable {
+
+	private static final Logger logger = LogManager.getLogger(Daemon.class);
+
+	private static final JsonMapper mapper = JsonMapper.builder().build();
+
+	private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+
+	private final DaemonSettings settings;
+
+	private final long incarnation = System.currentTimeMillis();
+
+	private final MonotonicClock clock = MonotonicClock.SYSTEM;
+
+	private final PrometheusRegistry metrics = new PrometheusRegistry();
+
+	private final ServiceRegistry services = new ServiceRegistry();
+
+	private final LocalCatalogue catalogue = new LocalCatalogue(this.metrics);
+
+	private volatile boolean serving;
+
+	private volatile boolean leaving;
+
+	/**
+	 * Creates a daemon.
+	 * @param settings the checked settings
+	 */
+	public Daemon(DaemonSettings settings) {
+		this.settings = settings;
+		registerPlatform();
+		registerPeers();
+		registerPorts();
+	}
+
+	/**
+	 * Starts every service.
+	 */
+	public void start() {
+		this.services.start();
+		this.serving = true;
+		logger.info("Daemon {} serves with incarnation {}", this.settings.host(), this.incarnation);
+	}
+
+	/**
+	 * Returns the line that tells where the daemon listens.
+	 * @return a JSON object
+	 */
+	public String readyLine() {
+		return mapper.createObjectNode()
+			.put("ready", true)
+			.put("host", this.settings.host())
+			.put("callers", text(callers().address()))
+			.put("operators", text(this.services.find(ServiceNames.OPERATORS, OperatorServer.class).address()))
+			.put("peers", this.settings.peers().address() + ":" + peers().port())
+			.toString();
+	}
+
+	/**
+	 * Shuts down gracefully: readiness turns false, the callers' port goes on for the
+	 * settle time, then no new work is taken and every request in flight ends.
+	 * @param signal cuts the shutdown short when it is raised again
+	 */
+	public void shutDown(ShutdownSignal signal) {
+		logger.info("Shutdown begins; {} requests are open", callers().openRequests());
+		this.leaving = true;
+		peers().leave();
+		callers().closeConnectionsAfterAnswers();
+		if (signal.awaitSecond(Duration.ofMillis(this.settings.shutdown().settleMillis()))) {
+			reportCut();
+			return;
+		}
+		callers().stopListening();
+		controller().drain();
+		long end = this.clock.nanoTime() + Duration.ofSeconds(this.settings.shutdown().maximumSeconds()).toNanos();
+		while (openWork() > 0) {
+			if (this.clock.nanoTime() - end > 0 || signal.awaitSecond(DRAIN_POLL)) {
+				reportCut();
+				return;
+			}
+		}
+		logger.info("Shutdown is complete; no request was cut");
+	}
+
+	@Override
+	public void close() {
+		this.services.close();
+	}
+
+	private void registerPlatform() {
+		this.services.register(ServiceNames.STORE,
+				new ConsulConfigurationStore(this.settings.platform().store(), this.metrics, this.clock, random()));
+		ConsulHostList hosts = this.services.register(ServiceNames.HOST_LIST,
+				new ConsulHostList(this.settings.platform().hostList(), this.metrics, random()));
+		hosts.watch(this.settings.platform().hostList().daemonService());
+		this.services.register(ServiceNames.TRAFFIC, TrafficControllers.create(this.settings.policy(), this.catalogue,
+				hosts, this.settings.failureDomain(), this.clock, random(), this.metrics));
+	}
+
+	private void registerPeers() {
+		HostList hosts = this.services.find(ServiceNames.HOST_LIST, HostList.class);
+		PeerExchange peers = new PeerExchange(this.settings, hosts, this.catalogue, controller(),
+				(attempt) -> claims().statusOf(attempt), this.clock, random(), this.metrics)
+			.setIncarnation(this.incarnation);
+		this.services.register(ServiceNames.PEERS, peers);
+		this.services.register(ServiceNames.CATALOGUE_WATCHER, new CatalogueWatcher(store(), this.catalogue, peers,
+				this.settings.platform().store(), this.metrics, this.clock, random()));
+		this.services.register(ServiceNames.CLAIMS,
+				new StoreClaimRegistry(store(), this.settings.platform().store(), this.settings.claims(), peers,
+						this.settings.host(), this.incarnation, this.clock, InstantSource.system(), this.metrics));
+	}
+
+	private void registerPorts() {
+		this.services.register(ServiceNames.OPERATORS,
+				new OperatorServer(this.settings.operators(), this.settings.platform().store().prefix(), store(),
+						this.catalogue, peers(), this::readiness, new UpstreamRows(this.services), this.metrics,
+						this.clock, random()));
+		this.services.register(ServiceNames.CALLERS, new CallerServer(this.settings, this.incarnation, this.catalogue,
+				controller(), claims(), this.clock, this.metrics));
+	}
+
+	private Readiness readiness() {
+		if (this.leaving) {
+			return new Readiness(false, "the daemon is shutting down");
+		}
+		if (!this.serving) {
+			return new Readiness(false, "the daemon is starting");
+		}
+		if (!this.catalogue.isLoaded()) {
+			return new Readiness(false, "no catalogue was read from the store or from peers");
+		}
+		return new Readiness(true, "");
+	}
+
+	private int openWork() {
+		return Math.max(callers().openRequests(), controller().unfinished());
+	}
+
+	private void reportCut() {
+		logger.warn("Shutdown is cut short; {} requests are open", callers().openRequests());
+	}
+
+	private ConsulConfigurationStore store() {
+		return this.services.find(ServiceNames.STORE, ConsulConfigurationStore.class);
+	}
+
+	private PolicyTrafficController controller() {
+		return this.services.find(ServiceNames.TRAFFIC, PolicyTrafficController.class);
+	}
+
+	private PeerExchange peers() {
+		return this.services.find(ServiceNames.PEERS, PeerExchange.class);
+	}
+
+	private StoreClaimRegistry claims() {
+		return this.services.find(ServiceNames.CLAIMS, StoreClaimRegistry.class);
+	}
+
+	private CallerServer callers() {
+		return this.services.find(ServiceNames.CALLERS, CallerServer.class);
+	}
+
+	private static UniformRandomProvider random() {
+		return RandomSource.XO_RO_SHI_RO_128_PP.create();
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
+}
