Read a claim back at once after one lost answer

AtMostOnceTests ran first against the thin path: 12 run, 4 failed. One was a fault of the store client: after a single reset connection it sent no call for up to 50 ms, so the read that settles a lost answer was never made and the booking was refused ('waiting after a failure to reach the store'). The refusal was true (not-run, claim abandoned), but a press was lost for one lost packet. Waiting inside the claim was weighed; letting the first failure in a row begin no pause is smaller and bounds the extra calls at an outage to one a daemon. The other three failed because the tests went on while a daemon still paused; the site now waits until each daemon serves a booking and a chat.

After: AtMostOnceTests 12 run, 12 passed, 17.6 s for the class.

--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/TestSite.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/TestSite.java
@@ -9,7 +9,9 @@
 import org.cyclamenstall.settings.PolicySettings;
 import org.cyclamenstall.standin.Standin;
 import org.cyclamenstall.standin.caller.CallerClient;
+import org.cyclamenstall.standin.caller.ChatForm;
 import org.cyclamenstall.standin.platform.ListedService;
+import org.cyclamenstall.standin.site.ConditionWaiter;
 import org.cyclamenstall.standin.site.DaemonInstance;
 import org.cyclamenstall.standin.site.Site;
 import org.cyclamenstall.standin.site.SiteLauncher;
@@ -45,6 +47,8 @@
 	/** The longest time between a claim and its sending, in milliseconds. */
 	public static final int CLAIM_AGE_MILLIS = 1_500;
 
+	private static final int STATUS_OK = 200;
+
 	private static final String API_KEY = "test-key";
 
 	private static final ClaimSettings CLAIMS = new ClaimSettings(CLAIM_AGE_MILLIS, 3_600, null);
@@ -168,8 +172,8 @@
 	}
 
 	/**
-	 * Ends every fault, starts the daemons that ended and waits until all are ready and
-	 * know the same catalogue.
+	 * Ends every fault, starts the daemons that ended and waits until each of them serves
+	 * every kind of request again.
 	 */
 	public void restore() {
 		this.site.clearFaults();
@@ -181,6 +185,17 @@
 			}
 		}
 		this.site.daemons().forEach(DaemonInstance::awaitReady);
+		for (int index = 0; index < this.site.daemons().size(); index++) {
+			awaitServing(index);
+		}
+	}
+
+	private void awaitServing(int index) {
+		ConditionWaiter.await(() -> caller(index).book(BOOKINGS, newKey(), "{}").status() == STATUS_OK,
+				() -> "bookings at daemon " + index + " fail: " + caller(index).book(BOOKINGS, newKey(), "{}"));
+		ConditionWaiter.await(() -> caller(index).chat(FIXED_CHAT, "probe", 1, ChatForm.WHOLE).status() == STATUS_OK,
+				() -> "chats at daemon " + index + " fail: "
+						+ caller(index).chat(FIXED_CHAT, "probe", 1, ChatForm.WHOLE));
 	}
 
 	/**
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/store/OutagePause.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/store/OutagePause.java
@@ -8,7 +8,8 @@
 /**
  * Spaces the attempts to reach a service that does not answer. The pause is random below
  * a bound that doubles with each failure in a row, so that many daemons do not return at
- * once. Thread-safe.
+ * once. The first failure in a row begins no pause, so that the writer of a lost answer
+ * can read the record back at once. Thread-safe.
  */
 public final class OutagePause {
 
@@ -20,6 +21,8 @@
 
 	private final UniformRandomProvider random;
 
+	private boolean failedLast;
+
 	private long boundNanos;
 
 	private long blockedSince;
@@ -48,14 +51,20 @@
 	 * Records that the service answered.
 	 */
 	public synchronized void succeeded() {
+		this.failedLast = false;
 		this.boundNanos = 0;
 		this.blockedNanos = 0;
 	}
 
 	/**
-	 * Records that the service did not answer, and begins a pause.
+	 * Records that the service did not answer, and begins a pause unless it answered
+	 * directly before.
 	 */
 	public synchronized void failed() {
+		if (!this.failedLast) {
+			this.failedLast = true;
+			return;
+		}
 		this.boundNanos = Math.min(MAXIMUM_NANOS, Math.max(FIRST_NANOS, this.boundNanos * 2));
 		this.blockedSince = this.clock.nanoTime();
 		this.blockedNanos = this.random.nextLong(this.boundNanos);
