Cancel engine work of a caller that has gone

The engine stand-in went on generating after the peer closed its connection: with reads resumed on the request's source channel the close was not seen, because the channel still reads through the conduit of the finished body. Replacing the read handler of the original conduit showed the close but broke the next request on a kept connection, since Undertow sets only the channel's listener when a request ends. Now the channel's read listener is set and the original conduit is resumed and read.

--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/http/DisconnectListener.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/http/DisconnectListener.java
@@ -2,11 +2,14 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.AttachmentKey;
 import org.xnio.IoUtils;
-import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Notices that the peer closed its connection while a request waits for its answer. Bytes
@@ -15,11 +18,14 @@
  */
 public final class DisconnectListener {
 
+	private static final AttachmentKey<AtomicReference<Runnable>> CLOSE_ACTION = AttachmentKey
+		.create(AtomicReference.class);
+
 	private final HttpServerExchange exchange;
 
-	private final ConduitStreamSourceChannel source;
+	private final StreamSourceConduit source;
 
-	private DisconnectListener(HttpServerExchange exchange, ConduitStreamSourceChannel source) {
+	private DisconnectListener(HttpServerExchange exchange, StreamSourceConduit source) {
 		this.exchange = exchange;
 		this.source = source;
 	}
@@ -30,14 +36,25 @@
 	 * @param onClose called on the I/O thread when the peer closed the connection
 	 */
 	public static void listen(HttpServerExchange exchange, Runnable onClose) {
-		exchange.getConnection().addCloseListener((connection) -> onClose.run());
+		closeAction(exchange.getConnection()).set(onClose);
 		if (exchange.getConnection() instanceof HttpServerConnection connection) {
-			DisconnectListener listener = new DisconnectListener(exchange, connection.getChannel().getSourceChannel());
-			listener.source.getReadSetter().set((ready) -> listener.read());
+			DisconnectListener listener = new DisconnectListener(exchange, connection.getOriginalSourceConduit());
+			connection.getChannel().getSourceChannel().setReadListener((ready) -> listener.read());
 			listener.source.resumeReads();
 		}
 	}
 
+	private static AtomicReference<Runnable> closeAction(ServerConnection connection) {
+		AtomicReference<Runnable> action = connection.getAttachment(CLOSE_ACTION);
+		if (action == null) {
+			AtomicReference<Runnable> created = new AtomicReference<>();
+			connection.putAttachment(CLOSE_ACTION, created);
+			connection.addCloseListener((closed) -> created.get().run());
+			return created;
+		}
+		return action;
+	}
+
 	private void read() {
 		if (this.exchange.isComplete()) {
 			this.source.suspendReads();
