--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/ClaimSite.java
@@ -0,0 +1,123 @@
+package org.cyclamenstall.test.claims;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.cyclamenstall.claims.Claim;
+import org.cyclamenstall.claims.ClaimDecision;
+import org.cyclamenstall.claims.ClaimRequest;
+import org.cyclamenstall.claims.ClaimantAnswer;
+import org.cyclamenstall.claims.StoredAnswer;
+import org.cyclamenstall.internal.claims.StoreClaimRegistry;
+import org.cyclamenstall.junit.InMemoryConfigurationStore;
+import org.cyclamenstall.junit.ManualClock;
+import org.cyclamenstall.settings.ClaimSettings;
+import org.cyclamenstall.settings.StoreSettings;
+
+/**
+ * Runs the claim registries of several hosts over one store, without threads or sockets,
+ * and counts the executions at the upstream.
+ */
+final class ClaimSite {
+
+	static final int MAXIMUM_AGE_MILLIS = 5_000;
+
+	private static final StoreSettings STORE_SETTINGS = new StoreSettings(null, "127.0.0.1", 1, "test", null, null);
+
+	private static final ClaimSettings CLAIM_SETTINGS = new ClaimSettings(MAXIMUM_AGE_MILLIS, null, 1_000);
+
+	private final InMemoryConfigurationStore store = new InMemoryConfigurationStore();
+
+	private final ManualClock clock = new ManualClock();
+
+	private final Map<String, StoreClaimRegistry> registries = new TreeMap<>();
+
+	private final Map<String, Long> incarnations = new TreeMap<>();
+
+	private final List<String> executions = new ArrayList<>();
+
+	private BooleanSupplier peerSilence = () -> false;
+
+	private int presses;
+
+	ClaimSite(String... hosts) {
+		for (String host : hosts) {
+			restart(host);
+		}
+	}
+
+	InMemoryConfigurationStore store() {
+		return this.store;
+	}
+
+	ManualClock clock() {
+		return this.clock;
+	}
+
+	List<String> executions() {
+		return this.executions;
+	}
+
+	StoreClaimRegistry registry(String host) {
+		return this.registries.get(host);
+	}
+
+	void setPeerSilence(BooleanSupplier silence) {
+		this.peerSilence = silence;
+	}
+
+	void restart(String host) {
+		long incarnation = this.incarnations.merge(host, 1L, Long::sum);
+		this.registries.put(host, new StoreClaimRegistry(this.store, STORE_SETTINGS, CLAIM_SETTINGS, this::ask, host,
+				incarnation, this.clock, this.clock, new PrometheusRegistry()));
+	}
+
+	ClaimDecision press(String host) {
+		return press(host, "body");
+	}
+
+	ClaimDecision press(String host, String bodyHash) {
+		this.presses++;
+		return registry(host).claim(new ClaimRequest("bakery", "bookings", "key-1", bodyHash, host + this.presses));
+	}
+
+	/**
+	 * Sends a claimed request to the upstream and lets it run.
+	 * @param claim the claim
+	 * @return whether it was sent
+	 */
+	boolean execute(Claim claim) {
+		if (!claim.beginSending()) {
+			return false;
+		}
+		this.executions.add("ran");
+		claim.complete(answer());
+		return true;
+	}
+
+	static StoredAnswer answer() {
+		return new StoredAnswer(200, "text/plain", "booked".getBytes(StandardCharsets.UTF_8));
+	}
+
+	void settleAll() {
+		this.registries.values().forEach(StoreClaimRegistry::settleAll);
+	}
+
+	void passMaximumAge() {
+		this.clock.advance(Duration.ofMillis(MAXIMUM_AGE_MILLIS + 1));
+	}
+
+	private ClaimantAnswer ask(String host, long incarnation, String attempt) {
+		if (this.peerSilence.getAsBoolean() || this.incarnations.get(host) != incarnation) {
+			return ClaimantAnswer.UNKNOWN;
+		}
+		return registry(host).statusOf(attempt);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of claims of named requests.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.claims;
