Add trials of the policies in virtual time

The decisions need figures before and after each change, within seconds. This is no cluster simulator: neither network nor gateway is modelled.

--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/VirtualTime.java
@@ -0,0 +1,46 @@
+package org.cyclamenstall.standin.bench;
+
+import java.util.PriorityQueue;
+
+import org.cyclamenstall.kernel.MonotonicClock;
+
+/**
+ * Runs events in order of a virtual time that moves only between events. Not thread-safe.
+ */
+final class VirtualTime implements MonotonicClock {
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>();
+
+	private long nowNanos = 1;
+
+	private long sequence;
+
+	@Override
+	public long nanoTime() {
+		return this.nowNanos;
+	}
+
+	void after(long delayNanos, Runnable action) {
+		this.events.add(new Event(this.nowNanos + Math.max(0, delayNanos), this.sequence++, action));
+	}
+
+	void runUntil(long endNanos) {
+		while (!this.events.isEmpty() && this.events.peek().atNanos <= endNanos) {
+			Event event = this.events.remove();
+			this.nowNanos = event.atNanos;
+			event.action.run();
+		}
+		this.nowNanos = endNanos;
+	}
+
+	private record Event(long atNanos, long sequence, Runnable action) implements Comparable<Event> {
+
+		@Override
+		public int compareTo(Event other) {
+			int order = Long.compare(this.atNanos, other.atNanos);
+			return (order != 0) ? order : Long.compare(this.sequence, other.sequence);
+		}
+
+	}
+
+}
