Measure what one daemon adds to a call

The bench runs the stand-ins and the callers in one process and the daemon in another, whose processor time the operating system counts; a harness inside one process was ruled out because it mixes the costs.

--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/JavaProcess.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/JavaProcess.java
@@ -18,8 +18,12 @@
  */
 public final class JavaProcess implements AutoCloseable {
 
-	private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-			"-Xmx96m");
+	/**
+	 * Replaces the flags of the virtual machines, separated by spaces; benches set it.
+	 */
+	public static final String FLAGS_PROPERTY = "cyclamenstall.process.flags";
+
+	private static final String TEST_FLAGS = "-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -Xmx96m";
 
 	private static final int END_SECONDS = 60;
 
@@ -45,7 +49,7 @@
 		this.directory = directory;
 		this.command = new ArrayList<>();
 		this.command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-		this.command.addAll(FLAGS);
+		this.command.addAll(List.of(System.getProperty(FLAGS_PROPERTY, TEST_FLAGS).split(" ")));
 		this.command.addAll(List.of("-cp", classPath(), mainClass));
 		this.command.addAll(arguments);
 	}
