--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/EmbeddedTarget.java
@@ -0,0 +1,121 @@
+package org.cyclamenstall.standin.load;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.apache.commons.codec.digest.DigestUtils;
+import org.cyclamenstall.catalogue.CatalogueEntry;
+import org.cyclamenstall.catalogue.EntryKind;
+import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.settings.PolicySettings;
+import org.cyclamenstall.standin.engine.EngineFaults;
+import org.cyclamenstall.standin.engine.EngineStandin;
+import org.cyclamenstall.standin.http.Json;
+import org.cyclamenstall.standin.site.DaemonInstance;
+import org.cyclamenstall.standin.site.Site;
+import org.cyclamenstall.standin.site.SiteLauncher;
+import org.cyclamenstall.standin.site.SiteNames;
+import org.cyclamenstall.standin.site.SiteSettings;
+import org.cyclamenstall.standin.site.Upstream;
+import org.cyclamenstall.standin.site.UpstreamGroup;
+
+/**
+ * Starts the stand-ins and the daemons of a deployment and ends them when it is closed.
+ * Thread-safe.
+ */
+final class EmbeddedTarget implements LoadTarget {
+
+	private static final int EXCHANGE_MILLIS = 1_000;
+
+	private static final int POLL_MILLIS = 1_000;
+
+	private final Site site;
+
+	/**
+	 * Starts the deployment and puts its catalogue in force.
+	 * @param deployment the deployment
+	 * @param policy the policies of the daemons
+	 */
+	EmbeddedTarget(Deployment deployment, PolicySettings policy) {
+		this.site = new SiteLauncher(settings(deployment, policy)).call();
+		try {
+			deployment.entries().forEach(this::put);
+			deployment.accounts().forEach((account) -> put(accountEntry(deployment, account)));
+		}
+		catch (RuntimeException ex) {
+			this.site.close();
+			throw ex;
+		}
+	}
+
+	@Override
+	public List<InetSocketAddress> daemons() {
+		return this.site.daemons().stream().map(DaemonInstance::callers).toList();
+	}
+
+	@Override
+	public EngineCounts engineCounts() {
+		return EngineCounts.sum(this.site.engines().stream().map((engine) -> engine.standin().counts()).toList());
+	}
+
+	@Override
+	public void begin(Scenario.ScheduledFault fault) {
+		switch (fault.kind()) {
+			case SLOW_ENGINES -> concerned(fault).forEach((engine) -> engine.standin()
+				.setFaults(EngineFaults.slow(orDefault(fault.slowdown(), 1), orDefault(fault.reportLagMillis(), 0))));
+			case STALL_ENGINES -> concerned(fault).forEach((engine) -> engine.standin()
+				.setFaults(new EngineFaults(null, null, true, fault.reportLagMillis(), null, null, null, null, null,
+						null, null)));
+			case CRASH_ENGINES -> concerned(fault).forEach((engine) -> engine.standin().crash());
+			case KILL_DAEMON -> this.site.daemon(orDefault(fault.daemon(), 0)).process().kill();
+			default -> throw new IllegalArgumentException(fault.kind().label());
+		}
+	}
+
+	@Override
+	public void end(Scenario.ScheduledFault fault) {
+		concerned(fault).forEach((engine) -> engine.standin().setFaults(EngineFaults.NONE));
+	}
+
+	@Override
+	public void close() {
+		this.site.close();
+	}
+
+	private List<Upstream<EngineStandin>> concerned(Scenario.ScheduledFault fault) {
+		List<Upstream<EngineStandin>> engines = this.site.engines();
+		return engines.subList(0, (int) Math.ceil(engines.size() * orDefault(fault.share(), 0)));
+	}
+
+	private void put(CatalogueEntry entry) {
+		this.site.putEntry(entry.name(), new String(Json.write(entry), StandardCharsets.UTF_8));
+	}
+
+	private static CatalogueEntry accountEntry(Deployment deployment, Deployment.Account account) {
+		Set<String> entries = new LinkedHashSet<>(deployment.entries().stream().map(CatalogueEntry::name).toList());
+		String keyHash = DigestUtils.sha256Hex(RequestSender.apiKey(account.name()));
+		return new CatalogueEntry(account.name(), EntryKind.ACCOUNT, "load-tool", Tier.INTERACTIVE, account.limits(),
+				null, null, null, null, null, null, null, null, null, List.of(keyHash), entries);
+	}
+
+	private static SiteSettings settings(Deployment deployment, PolicySettings policy) {
+		SiteSettings small = SiteSettings.SMALL;
+		return new SiteSettings(new SiteNames(deployment.region(), "entry"), deployment.balancerWeights().size(),
+				List.of(new UpstreamGroup(deployment.engines().service(), deployment.engines().number())),
+				List.of(new UpstreamGroup(deployment.services().service(), deployment.services().number())),
+				deployment.engines().options(), policy, small.claims(), small.shutdown(), small.storeTimeoutMillis(),
+				EXCHANGE_MILLIS, POLL_MILLIS);
+	}
+
+	private static double orDefault(@org.jspecify.annotations.Nullable Double value, double fallback) {
+		return (value != null) ? value : fallback;
+	}
+
+	private static int orDefault(@org.jspecify.annotations.Nullable Integer value, int fallback) {
+		return (value != null) ? value : fallback;
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/EngineCounts.java
@@ -0,0 +1,36 @@
+package org.cyclamenstall.standin.load;
+
+import java.util.Collection;
+
+import org.cyclamenstall.standin.http.CallCounts;
+
+/**
+ * Sums up the work of all engines. Immutable.
+ *
+ * @param received the attempts received
+ * @param started the attempts that got a slot
+ * @param completed the attempts that ended by themselves
+ * @param cancelled the attempts that were cancelled
+ * @param resumed the attempts that went on after another
+ * @param refused the attempts that were refused
+ * @param tokensMade the tokens made
+ */
+record EngineCounts(long received, long started, long completed, long cancelled, long resumed, long refused,
+		long tokensMade) {
+
+	static EngineCounts sum(Collection<CallCounts> all) {
+		return new EngineCounts(sum(all, "received"), sum(all, "started"), sum(all, "completed"), sum(all, "cancelled"),
+				sum(all, "resumed"), sum(all, "refused-full") + sum(all, "refused-draining"), sum(all, "tokens-made"));
+	}
+
+	EngineCounts since(EngineCounts earlier) {
+		return new EngineCounts(this.received - earlier.received, this.started - earlier.started,
+				this.completed - earlier.completed, this.cancelled - earlier.cancelled, this.resumed - earlier.resumed,
+				this.refused - earlier.refused, this.tokensMade - earlier.tokensMade);
+	}
+
+	private static long sum(Collection<CallCounts> all, String kind) {
+		return all.stream().mapToLong((counts) -> counts.get(kind)).sum();
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
@@ -0,0 +1,59 @@
+package org.cyclamenstall.standin.load;
+
+import java.io.PrintStream;
+import java.util.Locale;
+
+/**
+ * Prints reports as a table. Not thread-safe.
+ */
+final class ReportTable {
+
+	private static final double PERCENT = 100;
+
+	private final PrintStream output;
+
+	ReportTable(PrintStream output) {
+		this.output = output;
+	}
+
+	void print(RunReport report) {
+		line("%n%s policy=%s seed=%d commit=%s", report.scenario(), report.policy(), report.seed(), report.commit());
+		line("%-18s %6s %6s | %8s %8s %8s | %8s %8s %9s | %8s %8s | %7s %7s | %9s", "class", "sent", "whole",
+				"attained", "window", "outside", "first50", "first99", "first99.9", "win99", "out99", "gap50", "gap99",
+				"longest");
+		report.classes().forEach(this::print);
+		line("goodput %.0f tokens/s (window %.0f, outside %.0f); wasted %s; attempts/request %s; engines %s",
+				report.goodputTokens(), report.windowGoodputTokens(), report.outsideGoodputTokens(),
+				percent(report.wastedShare()),
+				(report.attemptsPerRequest() != null) ? format("%.3f", report.attemptsPerRequest()) : "-",
+				report.engines());
+		report.classes().forEach((each) -> line("  %s: %s", each.name(), each.ends()));
+		report.accounts()
+			.stream()
+			.filter((account) -> account.limitOfTenSeconds() != null)
+			.forEach((account) -> line("  account %s: %d sent, %d admitted, busiest 10 s %d of %.0f", account.name(),
+					account.sent(), account.admitted(), account.busiestTenSeconds(), account.limitOfTenSeconds()));
+	}
+
+	private void print(ClassReport report) {
+		ClassReport.Part all = report.all();
+		line("%-18s %6d %6d | %8s %8s %8s | %8.0f %8.0f %9.0f | %8.0f %8.0f | %7.0f %7.0f | %9.0f", report.name(),
+				all.sent(), all.whole(), percent(all.attainment()), percent(report.window().attainment()),
+				percent(report.outside().attainment()), all.firstToken().p50(), all.firstToken().p99(),
+				all.firstToken().p999(), report.window().firstToken().p99(), report.outside().firstToken().p99(),
+				report.tokenGap().p50(), report.tokenGap().p99(), all.longestWait());
+	}
+
+	private void line(String pattern, Object... values) {
+		this.output.println(format(pattern, values));
+	}
+
+	private static String percent(@org.jspecify.annotations.Nullable Double share) {
+		return (share != null) ? format("%.2f%%", share * PERCENT) : "-";
+	}
+
+	private static String format(String pattern, Object... values) {
+		return String.format(Locale.ROOT, pattern, values);
+	}
+
+}
