--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/engine/EngineStandin.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/engine/EngineStandin.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -241,7 +242,7 @@
 	private AnswerFault nextFault() {
 		for (Map.Entry<AnswerFault, Countdown> entry : this.answerFaults.entrySet()) {
 			if (entry.getValue().take()) {
-				this.counts.increment("fault-" + entry.getKey().name().toLowerCase(java.util.Locale.ROOT));
+				this.counts.increment("fault-" + entry.getKey().name().toLowerCase(Locale.ROOT));
 				return entry.getKey();
 			}
 		}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/engine/PromptCache.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/engine/PromptCache.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.standin.engine;
 
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -36,8 +37,7 @@
 		int known = 0;
 		boolean unbroken = true;
 		for (int end = BLOCK_CHARACTERS; end <= prompt.length(); end += BLOCK_CHARACTERS) {
-			byte[] block = prompt.substring(end - BLOCK_CHARACTERS, end)
-				.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+			byte[] block = prompt.substring(end - BLOCK_CHARACTERS, end).getBytes(StandardCharsets.UTF_8);
 			hash = hash * 31 + MurmurHash3.hash128x64(block)[0];
 			unbroken &= this.blocks.put(hash, Boolean.TRUE) != null;
 			known = unbroken ? end : known;
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ClassReport.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ClassReport.java
@@ -1,11 +1,13 @@
 package org.cyclamenstall.standin.load;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
 import org.HdrHistogram.Histogram;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Sums up the requests of one class. Immutable.
@@ -24,7 +26,7 @@
 		Histogram gaps = Latencies.newHistogram();
 		for (RequestResult result : results) {
 			String kind = result.errorKind().isEmpty() ? "" : " " + result.errorKind();
-			ends.merge(result.end().name().toLowerCase(java.util.Locale.ROOT) + kind, 1L, Long::sum);
+			ends.merge(result.end().name().toLowerCase(Locale.ROOT) + kind, 1L, Long::sum);
 			recordGaps(gaps, result.tokenNanos());
 		}
 		return new ClassReport(name, Part.of(results),
@@ -45,12 +47,14 @@
 	 * @param sent the number of requests
 	 * @param whole those with a whole answer
 	 * @param attained those with a whole answer whose first token met the target
-	 * @param attainment the share of those attained in those sent
+	 * @param attainment the share of those attained in those sent; {@code null} if none
+	 * was
 	 * @param firstToken the time of the first token since the intended time of sending
 	 * @param longestWait the longest time without a first token or an end, in
 	 * milliseconds
 	 */
-	record Part(long sent, long whole, long attained, double attainment, Latencies firstToken, double longestWait) {
+	record Part(long sent, long whole, long attained, @Nullable Double attainment, Latencies firstToken,
+			double longestWait) {
 
 		private static final double NANOS_PER_MILLI = 1e6;
 
@@ -67,7 +71,7 @@
 					Latencies.record(first, result.firstNanos());
 				}
 			}
-			double attainment = results.isEmpty() ? 1 : (double) attained / results.size();
+			Double attainment = results.isEmpty() ? null : Double.valueOf((double) attained / results.size());
 			return new Part(results.size(), whole, attained, attainment, Latencies.of(first),
 					longest / NANOS_PER_MILLI);
 		}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/EmbeddedTarget.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/EmbeddedTarget.java
@@ -21,6 +21,7 @@
 import org.cyclamenstall.standin.site.SiteSettings;
 import org.cyclamenstall.standin.site.Upstream;
 import org.cyclamenstall.standin.site.UpstreamGroup;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Starts the stand-ins and the daemons of a deployment and ends them when it is closed.
@@ -110,11 +111,11 @@
 				EXCHANGE_MILLIS, POLL_MILLIS);
 	}
 
-	private static double orDefault(@org.jspecify.annotations.Nullable Double value, double fallback) {
+	private static double orDefault(@Nullable Double value, double fallback) {
 		return (value != null) ? value : fallback;
 	}
 
-	private static int orDefault(@org.jspecify.annotations.Nullable Integer value, int fallback) {
+	private static int orDefault(@Nullable Integer value, int fallback) {
 		return (value != null) ? value : fallback;
 	}
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadRun.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadRun.java
@@ -5,6 +5,7 @@
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -96,7 +97,7 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		catch (java.util.concurrent.ExecutionException ex) {
+		catch (ExecutionException ex) {
 			throw new IllegalStateException(ex.getCause());
 		}
 	}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.util.Locale;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Prints reports as a table. Not thread-safe.
  */
@@ -48,7 +50,7 @@
 		this.output.println(format(pattern, values));
 	}
 
-	private static String percent(@org.jspecify.annotations.Nullable Double share) {
+	private static String percent(@Nullable Double share) {
 		return (share != null) ? format("%.2f%%", share * PERCENT) : "-";
 	}
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/platform/StoreStandin.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/platform/StoreStandin.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
@@ -336,7 +337,7 @@
 		return this.faults.loseAnswersShare() != null && this.random.nextDouble() < this.faults.loseAnswersShare();
 	}
 
-	private void wakeWaiters(java.util.function.Predicate<Waiter> condition) {
+	private void wakeWaiters(Predicate<Waiter> condition) {
 		for (Iterator<Waiter> all = this.waiters.iterator(); all.hasNext();) {
 			Waiter waiter = all.next();
 			if (condition.test(waiter)) {
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/standin/ServiceStandinTests.java
@@ -0,0 +1,71 @@
+package org.cyclamenstall.test.standin;
+
+import java.nio.charset.StandardCharsets;
+
+import org.cyclamenstall.lib.HeaderNames;
+import org.cyclamenstall.standin.service.ServiceFaults;
+import org.cyclamenstall.standin.service.ServiceStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link ServiceStandin}.
+ */
+class ServiceStandinTests {
+
+	private static final String PATH = "/bookings";
+
+	private static final String KEY = "booking-1";
+
+	private final ServiceStandin service = new ServiceStandin("service", "127.0.0.1", 0);
+
+	private final StandinClient client = new StandinClient(this.service);
+
+	@AfterEach
+	void close() {
+		this.service.close();
+	}
+
+	private int book() {
+		return this.client.status("POST", PATH, "{}", HeaderNames.IDEMPOTENCY_KEY, KEY);
+	}
+
+	private static ServiceFaults fault(Integer refuse, Integer closeBefore, Integer closeAfter) {
+		return new ServiceFaults(null, null, null, refuse, closeBefore, closeAfter, null, null, null);
+	}
+
+	@Nested
+	class ExecutionCount {
+
+		@Test
+		void countsEachExecution() {
+			book();
+			book();
+			assertThat(ServiceStandinTests.this.service.executionsOfKey(KEY), is(2L));
+			assertThat(
+					ServiceStandinTests.this.service.executionsOf("POST", PATH, "{}".getBytes(StandardCharsets.UTF_8)),
+					is(2L));
+		}
+
+		@Test
+		void leavesOutWhatWasRefusedOrClosedBefore() {
+			ServiceStandinTests.this.service.setFaults(fault(1, 1, null));
+			assertThat(book(), is(503));
+			assertThat(book(), is(StandinClient.NO_ANSWER));
+			assertThat(ServiceStandinTests.this.service.executionsOfKey(KEY), is(0L));
+		}
+
+		@Test
+		void containsWhatWasClosedAfter() {
+			ServiceStandinTests.this.service.setFaults(fault(null, null, 1));
+			assertThat(book(), is(StandinClient.NO_ANSWER));
+			assertThat(ServiceStandinTests.this.service.executionsOfKey(KEY), is(1L));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/standin/StandinClient.java
@@ -0,0 +1,72 @@
+package org.cyclamenstall.test.standin;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import org.cyclamenstall.standin.Standin;
+
+/**
+ * Calls a stand-in. Thread-safe.
+ */
+final class StandinClient {
+
+	static final int NO_ANSWER = 0;
+
+	private static final Duration LIMIT = Duration.ofSeconds(60);
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final Standin standin;
+
+	StandinClient(Standin standin) {
+		this.standin = standin;
+	}
+
+	HttpResponse<String> call(String method, String path, String body, String... headers) {
+		try {
+			return this.client.send(request(method, path, body, headers), HttpResponse.BodyHandlers.ofString());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	/**
+	 * Makes a request whose answer may not come.
+	 * @return the status, or {@link #NO_ANSWER}
+	 */
+	int status(String method, String path, String body, String... headers) {
+		try {
+			return call(method, path, body, headers).statusCode();
+		}
+		catch (UncheckedIOException ex) {
+			return NO_ANSWER;
+		}
+	}
+
+	CompletableFuture<HttpResponse<String>> start(String method, String path, String body, String... headers) {
+		return this.client.sendAsync(request(method, path, body, headers), HttpResponse.BodyHandlers.ofString());
+	}
+
+	private HttpRequest request(String method, String path, String body, String... headers) {
+		HttpRequest.Builder builder = HttpRequest
+			.newBuilder(URI.create("http://" + this.standin.address() + ":" + this.standin.port() + path))
+			.timeout(LIMIT)
+			.method(method, HttpRequest.BodyPublishers.ofString(body));
+		if (headers.length > 0) {
+			builder.headers(headers);
+		}
+		return builder.build();
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/standin/StoreStandinTests.java
@@ -0,0 +1,143 @@
+package org.cyclamenstall.test.standin;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.cyclamenstall.standin.platform.StoreFaults;
+import org.cyclamenstall.standin.platform.StoreStandin;
+import org.cyclamenstall.standin.site.ConditionWaiter;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Tests of {@link StoreStandin}.
+ */
+class StoreStandinTests {
+
+	private static final String KEY = "/v1/kv/tests/one";
+
+	private static final String INDEX = "X-Consul-Index";
+
+	private final StoreStandin store = new StoreStandin("store", "127.0.0.1", 0);
+
+	private final StandinClient client = new StandinClient(this.store);
+
+	@AfterEach
+	void close() {
+		this.store.close();
+	}
+
+	private String put(String condition, String value) {
+		return this.client.call("PUT", KEY + condition, value).body();
+	}
+
+	private long index() {
+		return this.client.call("GET", KEY, "").headers().firstValueAsLong(INDEX).orElseThrow();
+	}
+
+	@Nested
+	class CompareAndSwap {
+
+		@Test
+		void zeroCreatesOnce() {
+			assertThat(put("?cas=0", "first"), is("true"));
+			assertThat(put("?cas=0", "second"), is("false"));
+		}
+
+		@Test
+		void aVersionThatWasReadReplacesOnce() {
+			put("?cas=0", "first");
+			long version = index();
+			assertThat(put("?cas=" + version, "second"), is("true"));
+			assertThat(put("?cas=" + version, "third"), is("false"));
+			assertThat(StoreStandinTests.this.client.call("DELETE", KEY + "?cas=" + version, "").body(), is("false"));
+			assertThat(StoreStandinTests.this.client.call("DELETE", KEY + "?cas=" + index(), "").body(), is("true"));
+			assertThat(StoreStandinTests.this.client.call("GET", KEY, "").statusCode(), is(404));
+		}
+
+	}
+
+	@Nested
+	class WaitingRead {
+
+		@Test
+		void isAnsweredByAChangeBelowItsPrefix() throws Exception {
+			put("", "first");
+			CompletableFuture<HttpResponse<String>> waiting = StoreStandinTests.this.client.start("GET",
+					"/v1/kv/tests/?recurse&index=" + index() + "&wait=60s", "");
+			ConditionWaiter.await(() -> StoreStandinTests.this.store.counts().get("wait") == 1, () -> "no wait");
+			put("", "second");
+			assertThat(waiting.get(60, TimeUnit.SECONDS).headers().firstValueAsLong(INDEX).orElseThrow(), is(index()));
+		}
+
+	}
+
+	@Nested
+	class WhenAnswersAreLost {
+
+		@Test
+		void theWriteTakesEffectAndIsNotAnswered() {
+			StoreStandinTests.this.store.setFaults(new StoreFaults(null, null, 1, null, null, null));
+			assertThat(StoreStandinTests.this.client.status("PUT", KEY + "?cas=0", "first"),
+					is(StandinClient.NO_ANSWER));
+			assertThat(StoreStandinTests.this.client.call("GET", KEY, "").statusCode(), is(200));
+			assertThat(put("?cas=0", "second"), is("false"));
+		}
+
+	}
+
+	@Nested
+	class WhenReadsAreStale {
+
+		@Test
+		void theyShowTheStateBefore() {
+			put("", "first");
+			String before = StoreStandinTests.this.client.call("GET", KEY, "").body();
+			StoreStandinTests.this.store.setFaults(new StoreFaults(null, null, null, null, null, true));
+			put("", "second");
+			assertThat(StoreStandinTests.this.client.call("GET", KEY, "").body(), is(before));
+			StoreStandinTests.this.store.setFaults(StoreFaults.NONE);
+			assertThat(StoreStandinTests.this.client.call("GET", KEY, "").body(), is(not(before)));
+		}
+
+	}
+
+	@Nested
+	class WhenRestored {
+
+		@Test
+		void itHoldsTheSnapshot() {
+			put("", "first");
+			String before = StoreStandinTests.this.client.call("GET", KEY, "").body();
+			StoreStandinTests.this.client.call("POST", "/standin/snapshot", "");
+			put("", "second");
+			StoreStandinTests.this.client.call("POST", "/standin/restore", "");
+			assertThat(StoreStandinTests.this.client.call("GET", KEY, "").body(), containsString(before));
+		}
+
+	}
+
+	@Nested
+	class WhenFrozen {
+
+		@Test
+		void callsAreAnsweredOnceItGoesOn() throws Exception {
+			put("", "first");
+			StoreStandinTests.this.store.setFaults(new StoreFaults(null, null, null, null, true, null));
+			CompletableFuture<HttpResponse<String>> held = StoreStandinTests.this.client.start("GET", KEY, "");
+			ConditionWaiter.await(() -> StoreStandinTests.this.store.counts().get("frozen") == 1, () -> "no call");
+			assertThat(held.isDone(), is(false));
+			StoreStandinTests.this.store.setFaults(StoreFaults.NONE);
+			assertThat(held.get(60, TimeUnit.SECONDS).statusCode(), is(200));
+		}
+
+	}
+
+}
