Report how late requests were sent, and trace each one

A run on a machine busy with other work can't be told from a slow policy by its latencies alone, so the report now shows how late the tool itself was. The trace gives one line a request. Daemons that the tool started end with it also on a signal. Compiles; not yet run.

--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/AnswerProgress.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/AnswerProgress.java
@@ -23,6 +23,8 @@
 
 	private final long intendedNanos;
 
+	private final long sentNanos;
+
 	private long[] tokenNanos = new long[FIRST_CAPACITY];
 
 	private int tokens;
@@ -33,7 +35,8 @@
 
 	private @Nullable String errorKind;
 
-	AnswerProgress(long intendedNanos) {
+	AnswerProgress(long intendedNanos, long sentNanos) {
+		this.sentNanos = sentNanos - intendedNanos;
 		this.intendedNanos = intendedNanos;
 	}
 
@@ -76,6 +79,10 @@
 		return this.failed;
 	}
 
+	long sentNanos() {
+		return this.sentNanos;
+	}
+
 	String errorKind() {
 		return (this.errorKind != null) ? this.errorKind : "";
 	}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadMain.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadMain.java
@@ -83,17 +83,26 @@
 			RunReport report = RunReport.of(scenario, deployment, policy, seed, this.options.commit(), result);
 			new ReportTable(this.output).print(report);
 			this.reports.add(report);
+			trace(result);
 		}
 		if (this.options.json() != null) {
 			Files.write(this.options.json(), Json.write(this.reports));
 		}
 	}
 
+	private void trace(LoadRun.LoadResult result) throws IOException {
+		if (this.options.trace() != null) {
+			Files.write(this.options.trace(), RequestTrace.lines(result.requests()));
+		}
+	}
+
 	private LoadTarget target(Scenario scenario, Deployment deployment, String policy) {
 		if (!this.options.daemons().isEmpty()) {
 			return new GivenTarget(this.options.daemons());
 		}
-		return new EmbeddedTarget(deployment, NamedPolicies.find(policy, scenario, deployment));
+		EmbeddedTarget target = new EmbeddedTarget(deployment, NamedPolicies.find(policy, scenario, deployment));
+		Runtime.getRuntime().addShutdownHook(new Thread(target::close, "load-shutdown"));
+		return target;
 	}
 
 }
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadOptions.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadOptions.java
@@ -20,10 +20,11 @@
  * @param leftOut the classes to leave out
  * @param faults whether the faults of the scenario take place
  * @param json the file for the reports as JSON
+ * @param trace the file for one line a request, as comma-separated values
  * @param commit the commit of the code
  */
 record LoadOptions(List<Path> scenarios, List<String> policies, List<Long> seeds, List<InetSocketAddress> daemons,
-		List<String> leftOut, boolean faults, @Nullable Path json, String commit) {
+		List<String> leftOut, boolean faults, @Nullable Path json, @Nullable Path trace, String commit) {
 
 	static Options describe() {
 		return new Options().addOption(option("scenario", "FILE[,FILE]", "the scenarios, in YAML"))
@@ -33,6 +34,7 @@
 			.addOption(option("without", "CLASS[,CLASS]", "classes to leave out"))
 			.addOption(Option.builder().longOpt("no-faults").desc("leave out the faults").get())
 			.addOption(option("json", "FILE", "write the reports as JSON"))
+			.addOption(option("trace", "FILE", "write one line a request of the last run, as CSV"))
 			.addOption(option("commit", "NAME", "the commit to name in the reports"))
 			.addOption(Option.builder("h").longOpt("help").desc("print this help").get());
 	}
@@ -44,6 +46,7 @@
 				split(line.getOptionValue("daemons", "")).stream().map(LoadOptions::address).toList(),
 				split(line.getOptionValue("without", "")), !line.hasOption("no-faults"),
 				line.hasOption("json") ? Path.of(line.getOptionValue("json")) : null,
+				line.hasOption("trace") ? Path.of(line.getOptionValue("trace")) : null,
 				line.getOptionValue("commit", "unknown"));
 	}
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadRun.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadRun.java
@@ -109,7 +109,7 @@
 		for (Arrival arrival : this.arrivals) {
 			if (!ended[arrival.sequence()]) {
 				long waited = System.nanoTime() - this.startNanos - arrival.atNanos();
-				all.add(new RequestResult(arrival, RequestEnd.UNFINISHED, "", -1, waited, new long[0]));
+				all.add(new RequestResult(arrival, RequestEnd.UNFINISHED, "", 0, -1, waited, new long[0]));
 			}
 		}
 		return all;
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
@@ -29,6 +29,8 @@
 				percent(report.wastedShare()),
 				(report.attemptsPerRequest() != null) ? format("%.3f", report.attemptsPerRequest()) : "-",
 				report.engines());
+		line("sent late by p50 %.1f, p99 %.1f, at most %.1f ms", report.sendingDelay().p50(),
+				report.sendingDelay().p99(), report.sendingDelay().maximum());
 		report.classes().forEach((each) -> line("  %s: %s", each.name(), each.ends()));
 		report.accounts()
 			.stream()
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/RequestResult.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/RequestResult.java
@@ -9,12 +9,13 @@
  * @param arrival the request
  * @param end how it ended
  * @param errorKind the error kind; empty without an error
+ * @param sentNanos the time of sending
  * @param firstNanos the time of the first token, or of the whole answer of a plain
  * service; -1 if none came
  * @param endNanos the time of the end
  * @param tokenNanos the time of each token
  */
-record RequestResult(Arrival arrival, RequestEnd end, String errorKind, long firstNanos, long endNanos,
+record RequestResult(Arrival arrival, RequestEnd end, String errorKind, long sentNanos, long firstNanos, long endNanos,
 		long[] tokenNanos) {
 
 	private static final double NANOS_PER_SECOND = 1e9;
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/RequestSender.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/RequestSender.java
@@ -94,7 +94,7 @@
 	}
 
 	private CompletableFuture<RequestResult> send(Arrival arrival, long intendedNanos, int daemon, int triesLeft) {
-		AnswerProgress progress = new AnswerProgress(intendedNanos);
+		AnswerProgress progress = new AnswerProgress(intendedNanos, System.nanoTime());
 		return this.client
 			.sendAsync(request(arrival, this.balancer.address(daemon)),
 					HttpResponse.BodyHandlers.fromLineSubscriber(progress))
@@ -123,7 +123,7 @@
 		if (end == RequestEnd.CUT) {
 			kind = (response != null) ? "answer-cut" : "connection-lost";
 		}
-		return new RequestResult(arrival, end, kind, first, endNanos, tokens);
+		return new RequestResult(arrival, end, kind, progress.sentNanos(), first, endNanos, tokens);
 	}
 
 	private static RequestEnd end(Arrival arrival, AnswerProgress progress, @Nullable HttpResponse<Void> response) {
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/RunReport.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/RunReport.java
@@ -4,6 +4,7 @@
 import java.util.function.Predicate;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import org.HdrHistogram.Histogram;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,6 +16,7 @@
  * @param commit the commit of the code
  * @param classes the classes
  * @param accounts the accounts
+ * @param sendingDelay how late requests were sent; large if this machine was overloaded
  * @param goodputTokens the tokens of whole answers, per second
  * @param windowGoodputTokens the same while a crest or a fault lasted
  * @param outsideGoodputTokens the same in the other time
@@ -26,8 +28,9 @@
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 record RunReport(String scenario, String policy, long seed, String commit, List<ClassReport> classes,
-		List<AccountReport> accounts, double goodputTokens, double windowGoodputTokens, double outsideGoodputTokens,
-		@Nullable Double wastedShare, @Nullable Double attemptsPerRequest, @Nullable EngineCounts engines) {
+		List<AccountReport> accounts, Latencies sendingDelay, double goodputTokens, double windowGoodputTokens,
+		double outsideGoodputTokens, @Nullable Double wastedShare, @Nullable Double attemptsPerRequest,
+		@Nullable EngineCounts engines) {
 
 	private static final int STEPS_PER_SECOND = 10;
 
@@ -51,13 +54,19 @@
 			.map((account) -> AccountReport.of(account.name(), account.limits(),
 					measured.stream().filter((request) -> request.arrival().account().equals(account.name())).toList()))
 			.toList();
-		return new RunReport(scenario.name(), policy, seed, commit, classes, accounts,
+		return new RunReport(scenario.name(), policy, seed, commit, classes, accounts, sendingDelay(measured),
 				goodput(scenario, result.requests(), (second) -> true),
 				goodput(scenario, result.requests(), (second) -> isInWindow(scenario, second)),
 				goodput(scenario, result.requests(), (second) -> !isInWindow(scenario, second)), wastedShare(result),
 				attemptsPerRequest(result), result.engines());
 	}
 
+	private static Latencies sendingDelay(List<RequestResult> results) {
+		Histogram delays = Latencies.newHistogram();
+		results.forEach((result) -> Latencies.record(delays, result.sentNanos()));
+		return Latencies.of(delays);
+	}
+
 	private static boolean isInWindow(Scenario scenario, double second) {
 		return scenario.swings().stream().anyMatch((swing) -> swing.factor() > 1 && swing.covers(second))
 				|| scenario.faults().stream().anyMatch((fault) -> fault.covers(second));
