--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueHost.java
@@ -0,0 +1,74 @@
+package org.cyclamenstall.test.catalogue;
+
+import java.time.Duration;
+import java.util.Set;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenstall.catalogue.CatalogueEntry;
+import org.cyclamenstall.catalogue.EntryKind;
+import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.internal.catalogue.CatalogueEditAnswer;
+import org.cyclamenstall.internal.catalogue.CatalogueEditCommand;
+import org.cyclamenstall.internal.catalogue.CatalogueWatcher;
+import org.cyclamenstall.internal.catalogue.LocalCatalogue;
+import org.cyclamenstall.internal.catalogue.StoredCatalogue;
+import org.cyclamenstall.junit.InMemoryConfigurationStore;
+import org.cyclamenstall.junit.StaticMembership;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.settings.StoreSettings;
+
+/**
+ * The parts of one daemon that deal with the catalogue, over a store shared with others.
+ */
+final class CatalogueHost {
+
+	static final String PREFIX = "test";
+
+	private static final UniformRandomProvider NO_JITTER = () -> 0;
+
+	final PrometheusRegistry metrics = new PrometheusRegistry();
+
+	final LocalCatalogue replica = new LocalCatalogue(this.metrics);
+
+	final StaticMembership membership = new StaticMembership("host-1");
+
+	final StoredCatalogue stored;
+
+	private final InMemoryConfigurationStore store;
+
+	CatalogueHost(InMemoryConfigurationStore store) {
+		this.store = store;
+		this.stored = new StoredCatalogue(store, PREFIX);
+	}
+
+	CatalogueEditCommand edit(String editId) {
+		return new CatalogueEditCommand(this.stored, this.replica, this.membership, MonotonicClock.SYSTEM, NO_JITTER)
+			.setEditId(editId)
+			.setOperator("ana");
+	}
+
+	CatalogueEditAnswer put(String editId, CatalogueEntry entry) {
+		return edit(editId).setEntry(entry).call();
+	}
+
+	CatalogueEditAnswer putWithin(Duration deadline, String editId, CatalogueEntry entry) {
+		return edit(editId).setEntry(entry).setDeadline(deadline).call();
+	}
+
+	CatalogueWatcher watcher() {
+		StoreSettings settings = new StoreSettings("consul", "127.0.0.1", 1, PREFIX, 1_000, 100);
+		return new CatalogueWatcher(this.store, this.replica, this.membership, settings, this.metrics,
+				MonotonicClock.SYSTEM, NO_JITTER);
+	}
+
+	String owner(String name) {
+		return this.replica.current().entry(name).map(CatalogueEntry::owner).orElse("none");
+	}
+
+	static CatalogueEntry service(String name, String owner) {
+		return new CatalogueEntry(name, EntryKind.SERVICE, owner, Tier.STANDARD, null, "ghiseu", null, null, null, null,
+				"/" + name, Set.of("GET"), null, null, null, null);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of the catalogue.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.catalogue;
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/hosts/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of the host list client.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.hosts;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueEditCommand.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueEditCommand.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.internal.catalogue;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -28,7 +29,7 @@
  */
 public final class CatalogueEditCommand {
 
-	private static final long DEADLINE_NANOS = TimeUnit.SECONDS.toNanos(5);
+	private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(5);
 
 	private static final long MINIMUM_PAUSE_MILLIS = 5;
 
@@ -54,6 +55,8 @@
 
 	private @Nullable Long expectedRevision;
 
+	private Duration deadline = DEFAULT_DEADLINE;
+
 	private boolean uncertain;
 
 	private long uncertainVersion;
@@ -130,6 +133,16 @@
 		return this;
 	}
 
+	/**
+	 * Sets how long the command tries to reach the store and to settle the edit.
+	 * @param newDeadline the longest time
+	 * @return this command
+	 */
+	public CatalogueEditCommand setDeadline(Duration newDeadline) {
+		this.deadline = newDeadline;
+		return this;
+	}
+
 	/**
 	 * Makes the edit.
 	 * @return the result
@@ -138,7 +151,7 @@
 		Objects.requireNonNull(this.name, "name");
 		Objects.requireNonNull(this.editId, "editId");
 		long startedAt = this.clock.nanoTime();
-		while (this.clock.nanoTime() - startedAt < DEADLINE_NANOS && !Thread.currentThread().isInterrupted()) {
+		while (this.clock.nanoTime() - startedAt < this.deadline.toNanos() && !Thread.currentThread().isInterrupted()) {
 			try {
 				CatalogueEditAnswer answer = attempt();
 				if (answer != null) {
