--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueWatcherTests.java
@@ -0,0 +1,192 @@
+package org.cyclamenstall.test.catalogue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+import org.cyclamenstall.catalogue.CatalogueRecord;
+import org.cyclamenstall.internal.catalogue.CatalogueHead;
+import org.cyclamenstall.internal.catalogue.CatalogueWatcher;
+import org.cyclamenstall.junit.InMemoryConfigurationStore;
+import org.cyclamenstall.junit.StoreFault;
+import org.cyclamenstall.junit.StoreOperation;
+import org.cyclamenstall.peers.MemberState;
+import org.cyclamenstall.standin.site.ConditionWaiter;
+import org.cyclamenstall.store.StorePriority;
+import org.cyclamenstall.store.StoreRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Tests of {@link CatalogueWatcher} over a store that fails.
+ */
+class CatalogueWatcherTests {
+
+	private final InMemoryConfigurationStore store = new InMemoryConfigurationStore();
+
+	private final CatalogueHost editor = new CatalogueHost(this.store);
+
+	private final CatalogueHost host = new CatalogueHost(this.store);
+
+	private final CatalogueWatcher watcher = this.host.watcher();
+
+	@AfterEach
+	void close() {
+		this.watcher.close();
+	}
+
+	private void edit(String name, String owner) {
+		this.editor.put("edit-" + name + "-" + owner, CatalogueHost.service(name, owner));
+	}
+
+	private void awaitOwner(String name, String owner) {
+		await("entry " + name + " of " + owner, () -> this.host.owner(name).equals(owner));
+	}
+
+	private static void await(String what, BooleanSupplier condition) {
+		ConditionWaiter.await(condition, () -> what);
+	}
+
+	@Nested
+	class WhenTheStoreWorks {
+
+		@Test
+		void editsAreInForceWithoutReadingEveryEntryAgain() {
+			edit("orders", "ion");
+			CatalogueWatcherTests.this.watcher.start();
+			awaitOwner("orders", "ion");
+			long before = listings();
+			for (int number = 0; number < 5; number++) {
+				edit("orders", "maria" + number);
+			}
+			awaitOwner("orders", "maria4");
+			assertThat(listings(), is(before));
+		}
+
+		@Test
+		void aGapInTheHeadIsFilledByReadingEverything() {
+			CatalogueWatcherTests.this.watcher.start();
+			await("loaded", CatalogueWatcherTests.this.host.replica::isLoaded);
+			CatalogueWatcherTests.this.store.setFault(StoreOperation.WAIT, StoreFault.UNAVAILABLE);
+			for (int number = 0; number < CatalogueHead.MAXIMUM_CHANGES + 4; number++) {
+				edit("service-" + number, "ion");
+			}
+			CatalogueWatcherTests.this.store.setFault(StoreOperation.WAIT, StoreFault.NONE);
+			awaitOwner("service-" + (CatalogueHead.MAXIMUM_CHANGES + 3), "ion");
+			assertThat(CatalogueWatcherTests.this.host.owner("service-0"), is("ion"));
+		}
+
+		@Test
+		void anEditWhoseEntryWasNotWrittenIsInForce() {
+			edit("orders", "ion");
+			CatalogueWatcherTests.this.store.setFault(StoreOperation.CREATE, StoreFault.UNAVAILABLE);
+			edit("bookings", "maria");
+			CatalogueWatcherTests.this.watcher.start();
+			awaitOwner("bookings", "maria");
+		}
+
+		private long listings() {
+			return CatalogueWatcherTests.this.store.calls()
+				.stream()
+				.filter((call) -> call.operation() == StoreOperation.LIST)
+				.count();
+		}
+
+	}
+
+	@Nested
+	class WhenTheStoreFails {
+
+		@Test
+		void theCatalogueComesWithTheEndOfAnOutage() {
+			edit("orders", "ion");
+			CatalogueWatcherTests.this.store.setFault(StoreFault.UNAVAILABLE);
+			CatalogueWatcherTests.this.watcher.start();
+			await("three failed calls", () -> CatalogueWatcherTests.this.store.calls().size() > 6);
+			assertThat(CatalogueWatcherTests.this.host.replica.isLoaded(), is(false));
+			CatalogueWatcherTests.this.store.setFault(StoreFault.NONE);
+			awaitOwner("orders", "ion");
+		}
+
+		@Test
+		void anEntryThatCannotBeReadHidesNoOther() {
+			edit("orders", "ion");
+			for (int number = 0; number < CatalogueHead.MAXIMUM_CHANGES + 1; number++) {
+				edit("bookings", "maria" + number);
+			}
+			String key = CatalogueHost.PREFIX + "/catalogue/entries/orders";
+			StoreRecord record = CatalogueWatcherTests.this.store.get(key, StorePriority.CATALOGUE).orElseThrow();
+			CatalogueWatcherTests.this.store.compareAndSwap(key, "{".getBytes(StandardCharsets.UTF_8), record.version(),
+					StorePriority.CATALOGUE);
+			CatalogueWatcherTests.this.watcher.start();
+			awaitOwner("bookings", "maria" + CatalogueHead.MAXIMUM_CHANGES);
+			assertThat(CatalogueWatcherTests.this.host.owner("orders"), is("none"));
+		}
+
+		@Test
+		void aStorePutBackGetsTheNewerRecordsAgain() {
+			edit("orders", "ion");
+			List<StoreRecord> older = CatalogueWatcherTests.this.store.snapshot();
+			edit("orders", "maria");
+			edit("bookings", "maria");
+			CatalogueWatcherTests.this.watcher.start();
+			awaitOwner("bookings", "maria");
+			CatalogueWatcherTests.this.store.restore(older);
+			CatalogueHost replaced = new CatalogueHost(CatalogueWatcherTests.this.store);
+			await("the head is back", () -> replaced.stored.readHead().value().revision() == 3);
+			assertThat(CatalogueWatcherTests.this.host.owner("orders"), is("maria"));
+			assertThat(replaced.stored.readEntry("orders").orElseThrow().value().record().revision(), is(2L));
+			assertThat(replaced.stored.readEntry("bookings").orElseThrow().value().record().revision(), is(3L));
+		}
+
+		@Test
+		void anEmptiedStoreGetsEverythingAgain() {
+			for (int number = 0; number < 30; number++) {
+				edit("service-" + number, "ion");
+			}
+			CatalogueWatcherTests.this.watcher.start();
+			awaitOwner("service-29", "ion");
+			CatalogueWatcherTests.this.store.restore(List.of());
+			await("the head is back",
+					() -> CatalogueWatcherTests.this.editor.stored.readHead().value().revision() == 30);
+			List<CatalogueRecord> held = CatalogueWatcherTests.this.host.replica.recordsAfter(0);
+			for (CatalogueRecord record : held) {
+				assertThat(CatalogueWatcherTests.this.editor.stored.readEntry(record.name())
+					.orElseThrow()
+					.value()
+					.record(), is(record));
+			}
+		}
+
+	}
+
+	@Nested
+	class WhenTheDeploymentIsLarge {
+
+		@Test
+		void aDaemonThatIsNotSelectedKeepsNoWaitingRead() {
+			for (int number = 0; number < 60; number++) {
+				CatalogueWatcherTests.this.host.membership.put("host-" + number, MemberState.ALIVE, 0);
+			}
+			CatalogueWatcherTests.this.watcher.start();
+			await("the replica is loaded", CatalogueWatcherTests.this.host.replica::isLoaded);
+			await("the head is read", () -> count(StoreOperation.GET) > 0);
+			assertThat(count(StoreOperation.WAIT), is(0L));
+			assertThat(count(StoreOperation.GET), is(lessThanOrEqualTo(2L)));
+		}
+
+		private long count(StoreOperation operation) {
+			return CatalogueWatcherTests.this.store.calls()
+				.stream()
+				.filter((call) -> call.operation() == operation)
+				.count();
+		}
+
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueWatcher.java
@@ -38,6 +38,8 @@
 
 	private static final long REPAIR_PAUSE_MILLIS = 1_000;
 
+	private static final long MAXIMUM_REPAIR_PAUSE_MILLIS = 30_000;
+
 	private static final long FIRST_RETRY_MILLIS = 100;
 
 	private static final long MAXIMUM_RETRY_MILLIS = 1_000;
@@ -70,6 +72,12 @@
 
 	private long nextHeadAt;
 
+	private long nextRepairAt;
+
+	private long repairMillis = REPAIR_PAUSE_MILLIS;
+
+	private int lastMissing;
+
 	private int failuresInRow;
 
 	/**
@@ -102,6 +110,7 @@
 	public void start() {
 		this.nextListingAt = this.clock.nanoTime();
 		this.nextHeadAt = this.clock.nanoTime();
+		this.nextRepairAt = this.clock.nanoTime();
 		this.thread.start();
 	}
 
@@ -169,7 +178,7 @@
 	}
 
 	private void takeOlder(CatalogueHead head, long held) {
-		if (head.revision() < this.suspectedRevision) {
+		if (head.revision() < this.suspectedRevision && isDue(this.nextRepairAt)) {
 			readAll();
 			return;
 		}
@@ -182,12 +191,19 @@
 	private void readAll() {
 		CatalogueListing listing = counted("list", this.stored::readAll);
 		this.replica.offer(listing.records(), "store");
+		int missing = this.repair.missing(listing).size();
 		if (this.repair.run(listing)) {
 			this.nextListingAt = dueAfter(LISTING_PERIOD_MILLIS);
+			this.repairMillis = REPAIR_PAUSE_MILLIS;
 		}
 		else {
-			this.nextListingAt = dueAfter(REPAIR_PAUSE_MILLIS);
+			boolean progressed = missing < this.lastMissing;
+			this.repairMillis = progressed ? REPAIR_PAUSE_MILLIS
+					: Math.min(MAXIMUM_REPAIR_PAUSE_MILLIS, this.repairMillis * 2);
+			this.nextRepairAt = dueAfter(this.repairMillis);
+			this.nextListingAt = this.nextRepairAt;
 		}
+		this.lastMissing = missing;
 	}
 
 	private <T> T counted(String form, java.util.function.Supplier<T> read) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/hosts/ConsulHostList.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/hosts/ConsulHostList.java
@@ -115,6 +115,16 @@
 		}
 	}
 
+	/**
+	 * Returns the number of reads of a service that ended with a result.
+	 * @param service the name of the service
+	 * @param result the result
+	 * @return the number since the start
+	 */
+	public double reads(String service, String result) {
+		return this.reads.labelValues(service, result).get();
+	}
+
 	@Override
 	public synchronized void start() {
 		this.started = true;
@@ -146,7 +156,12 @@
 		changed.put(service, List.copyOf(hosts));
 		this.snapshot = new HostSnapshot(Map.copyOf(changed));
 		for (Consumer<HostSnapshot> listener : this.listeners) {
-			listener.accept(this.snapshot);
+			try {
+				listener.accept(this.snapshot);
+			}
+			catch (RuntimeException ex) {
+				logger.error("A listener of the host list failed", ex);
+			}
 		}
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/CallProgress.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/CallProgress.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
@@ -89,9 +90,15 @@
 
 	private void close() {
 		ClientConnection used = this.connection;
-		if (used != null) {
+		if (used == null) {
+			return;
+		}
+		try {
 			used.getIoThread().execute(() -> IoUtils.safeClose(used));
 		}
+		catch (RejectedExecutionException ex) {
+			IoUtils.safeClose(used);
+		}
 	}
 
 	private static String describe(Exception cause) {
