--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
@@ -110,7 +110,10 @@
 	 */
 	public <T> T read(String text, String source, Class<T> type, Function<T, List<FieldFault>> check) {
 		YamlLines lines = lines(text, source);
-		T document = parse(text, source, type);
+		if (lines.isEmpty()) {
+			throw new InvalidYamlException(this.kind, source, List.of(new YamlProblem(1, "", "the document holds no field")));
+		}
+		T document = parse(text, source, type, lines);
 		refuseProblems(source,
 				this.validator.validate(document).stream().map((violation) -> problem(violation, lines)));
 		refuseProblems(source,
@@ -135,21 +138,16 @@
 			return YamlLines.read(parser);
 		}
 		catch (JsonProcessingException ex) {
-			throw invalid(source, ex, "", ex.getOriginalMessage());
+			throw invalid(source, ex);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
 	}
 
-	private <T> T parse(String text, String source, Class<T> type) {
+	private <T> T parse(String text, String source, Class<T> type, YamlLines lines) {
 		try {
-			T document = this.mapper.readValue(text, type);
-			if (document == null) {
-				throw new InvalidYamlException(this.kind, source,
-						List.of(new YamlProblem(1, "", "the document is empty")));
-			}
-			return document;
+			return this.mapper.readValue(text, type);
 		}
 		catch (UnrecognizedPropertyException ex) {
 			String known = ex.getKnownPropertyIds()
@@ -157,32 +155,41 @@
 				.map(Object::toString)
 				.sorted()
 				.collect(Collectors.joining(", "));
-			throw invalid(source, ex, path(ex), "unknown field; allowed here: " + known);
+			throw invalid(source, ex, lines, "unknown field; allowed here: " + known);
 		}
 		catch (InvalidFormatException ex) {
-			throw invalid(source, ex, path(ex),
-					"'" + ex.getValue() + "' is not allowed; " + allowed(ex.getTargetType()));
+			throw invalid(source, ex, lines, "'" + ex.getValue() + "' is not allowed; " + allowed(ex.getTargetType()));
 		}
 		catch (MismatchedInputException ex) {
-			throw invalid(source, ex, path(ex), "wrong type; " + allowed(ex.getTargetType()));
+			throw invalid(source, ex, lines, "wrong type; " + allowed(ex.getTargetType()));
 		}
 		catch (JsonMappingException ex) {
-			throw invalid(source, ex, path(ex), ex.getOriginalMessage());
+			throw invalid(source, ex, lines, ex.getOriginalMessage());
 		}
 		catch (JsonProcessingException ex) {
-			throw invalid(source, ex, "", ex.getOriginalMessage());
+			throw invalid(source, ex);
 		}
 	}
 
-	private InvalidYamlException invalid(String source, JsonProcessingException cause, String field, String message) {
+	private InvalidYamlException invalid(String source, JsonProcessingException cause) {
 		int line = (cause.getLocation() != null) ? Math.max(1, cause.getLocation().getLineNr()) : 1;
-		return new InvalidYamlException(this.kind, source, List.of(new YamlProblem(line, field, message)));
+		return new InvalidYamlException(this.kind, source,
+				List.of(new YamlProblem(line, "", cause.getOriginalMessage())));
+	}
+
+	private InvalidYamlException invalid(String source, JsonMappingException cause, YamlLines lines, String message) {
+		String field = path(cause);
+		return new InvalidYamlException(this.kind, source,
+				List.of(new YamlProblem(lines.lineOf(field), field, message)));
 	}
 
 	private static YamlProblem problem(ConstraintViolation<?> violation, YamlLines lines) {
 		String field = violation.getPropertyPath().toString().replaceAll("\\.<[^>]*>", "");
-		String found = (violation.getInvalidValue() != null) ? "; found '" + violation.getInvalidValue() + "'" : "";
-		return new YamlProblem(lines.lineOf(field), field, violation.getMessage() + found);
+		if (violation.getInvalidValue() == null) {
+			return new YamlProblem(lines.lineOf(field), field, "required field is missing");
+		}
+		return new YamlProblem(lines.lineOf(field), field,
+				violation.getMessage() + "; found '" + violation.getInvalidValue() + "'");
 	}
 
 	private static String allowed(Class<?> type) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/YamlLines.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/YamlLines.java
@@ -35,6 +35,14 @@
 		return lines;
 	}
 
+	/**
+	 * Returns whether the document has no field.
+	 * @return {@code true} if there is none
+	 */
+	boolean isEmpty() {
+		return this.linesByPath.isEmpty();
+	}
+
 	/**
 	 * Returns the line of a field, or of the nearest field around it.
 	 * @param path the path of the field, with dots
