--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/operators/CommandLineTests.java
@@ -0,0 +1,242 @@
+package org.cyclamenstall.test.operators;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.cyclamenstall.internal.http.BlockingHttpClient;
+import org.cyclamenstall.internal.http.HttpAnswer;
+import org.cyclamenstall.internal.http.HttpCall;
+import org.cyclamenstall.internal.operators.OperatorServer;
+import org.cyclamenstall.internal.operators.Readiness;
+import org.cyclamenstall.junit.StoreFault;
+import org.cyclamenstall.junit.StoreOperation;
+import org.cyclamenstall.peers.MemberState;
+import org.cyclamenstall.pgm.CommandLineMain;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.emptyString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+/**
+ * Tests of {@link CommandLineMain} together with {@link OperatorServer}.
+ */
+class CommandLineTests {
+
+	private static final String ORDERS = """
+			name: orders
+			kind: service
+			owner: Order desk
+			class: standard
+			upstreams: ghiseu
+			pathPrefix: /orders
+			""";
+
+	private static final String CHAT = """
+			name: chat
+			kind: model
+			owner: Dispatch
+			class: interactive
+			upstreams: cuptor
+			model: chat
+			""";
+
+	@TempDir
+	private Path directory;
+
+	private OperatorFixture daemon;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.daemon = new OperatorFixture(this.directory);
+	}
+
+	@AfterEach
+	void close() {
+		this.daemon.close();
+	}
+
+	private OperatorFixture.Run put(String text, String... more) throws IOException {
+		Path file = this.daemon.write("entries.yaml", text);
+		String[] arguments = new String[more.length + 4];
+		arguments[0] = "catalogue";
+		arguments[1] = "put";
+		arguments[2] = "-f";
+		arguments[3] = file.toString();
+		System.arraycopy(more, 0, arguments, 4, more.length);
+		return this.daemon.run(arguments);
+	}
+
+	@Nested
+	class WhenEditsAreRight {
+
+		@Test
+		void aFileOfSeveralEntriesIsAcceptedAndReportedInForce() throws IOException {
+			OperatorFixture.Run run = put(ORDERS + "---\n" + CHAT);
+			assertThat(run.errors(), is(emptyString()));
+			assertThat(run.code(), is(0));
+			assertThat(run.output(),
+					allOf(containsString("orders: accepted at revision 1"),
+							containsString("chat: accepted at revision 2"),
+							containsString("revision 2: in force on 1 of 1 live hosts")));
+			assertThat(CommandLineTests.this.daemon.run("catalogue", "list").output(), containsString("interactive"));
+			OperatorFixture.Run shown = CommandLineTests.this.daemon.run("catalogue", "show", "orders");
+			assertThat(put(shown.output()).output(), containsString("accepted at revision 3"));
+			assertThat(CommandLineTests.this.daemon.run("catalogue", "delete", "orders").code(), is(0));
+			assertThat(CommandLineTests.this.daemon.run("catalogue", "show", "orders").code(), is(3));
+			assertThat(CommandLineTests.this.daemon.run("catalogue", "history", "orders").output(),
+					containsString("delete"));
+		}
+
+		@Test
+		void hostsThatLagAreNamed() throws IOException {
+			CommandLineTests.this.daemon.membership.put("host-2", MemberState.ALIVE, 0);
+			CommandLineTests.this.daemon.membership.put("host-3", MemberState.SUSPECT, 0);
+			assertThat(put(ORDERS, "--wait-seconds", "0").output(),
+					containsString("in force on 1 of 2 live hosts; not yet known of: host-2"));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "status", "hosts", "upstreams" })
+		void theStateIsShownAsTableAndJson(String subcommand) {
+			assertThat(CommandLineTests.this.daemon.run(subcommand).code(), is(0));
+			assertThat(CommandLineTests.this.daemon.run(subcommand, "--output", "json").output(), startsWith("{"));
+		}
+
+	}
+
+	@Nested
+	class WhenEditsAreRefused {
+
+		@Test
+		void aFaultNamesTheLineOfTheFileAndNothingIsWritten() throws IOException {
+			OperatorFixture.Run run = put(CHAT + "---\n" + ORDERS.replace("standard", "gold"));
+			assertThat(run.code(), is(3));
+			assertThat(run.errors(),
+					allOf(startsWith("cyclamenstall: catalogue-invalid: "), containsString("entries.yaml:11: class")));
+			assertThat(run.errors().lines().count(), is(1L));
+			assertThat(CommandLineTests.this.daemon.replica.summary().revision(), is(0L));
+		}
+
+		@Test
+		void aFaultFoundByTheDaemonNamesTheLineOfTheFile() throws IOException {
+			put(ORDERS);
+			OperatorFixture.Run run = put("# a comment\n---\n" + ORDERS.replace("name: orders", "name: bookings"));
+			assertThat(run.code(), is(3));
+			assertThat(run.errors(), containsString("entries.yaml:8: pathPrefix: already used by entry orders"));
+		}
+
+		@Test
+		void aConflictNamesTheWinner() throws IOException {
+			put(ORDERS);
+			OperatorFixture.Run run = put(ORDERS, "--expected-revision", "0");
+			assertThat(run.code(), is(4));
+			assertThat(run.errors(), allOf(containsString("catalogue-conflict"), containsString("at revision 1")));
+		}
+
+		@Test
+		void anUnknownResultSaysHowToSettleIt() throws IOException {
+			put(CHAT);
+			CommandLineTests.this.daemon.store.setFault(StoreOperation.SWAP, StoreFault.EFFECT_LATE);
+			OperatorFixture.Run run = put(ORDERS, "--edit-id", "edit-7");
+			assertThat(run.code(), is(6));
+			assertThat(run.errors(), containsString("catalogue-write-unknown"));
+			CommandLineTests.this.daemon.store.setFault(StoreFault.NONE);
+			CommandLineTests.this.daemon.store.applyLateWrites();
+			assertThat(put(ORDERS, "--edit-id", "edit-7").output(), containsString("accepted at revision 2"));
+		}
+
+		@Test
+		void aStoreThatIsDownIsNamed() throws IOException {
+			CommandLineTests.this.daemon.store.setFault(StoreFault.UNAVAILABLE);
+			OperatorFixture.Run run = put(ORDERS);
+			assertThat(run.code(), is(5));
+			assertThat(run.errors(), containsString("store-unavailable"));
+		}
+
+	}
+
+	@Nested
+	class WhenTheCallIsWrong {
+
+		@ParameterizedTest
+		@CsvSource({ "'',2", "nonsense,2", "catalogue,2", "catalogue show,2", "status more,2", "status --wrong,2",
+				"status --output xml,2", "catalogue show nothing,3", "catalogue delete nothing,3",
+				"catalogue put -f /nothing,3", "settings check /nothing,2" })
+		void theErrorIsOneLineWithItsCode(String line, int code) {
+			OperatorFixture.Run run = CommandLineTests.this.daemon
+				.run(line.isEmpty() ? new String[0] : line.split(" "));
+			assertThat(run.errors(), startsWith("cyclamenstall: "));
+			assertThat(run.errors().lines().count(), is(1L));
+			assertThat(run.code(), is(code));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "--help", "catalogue --help", "catalogue put --help", "catalogue list --help",
+				"key hash --help", "settings check -h" })
+		void helpIsPrintedWithExitCodes(String line) {
+			OperatorFixture.Run run = OperatorFixture.runAsGiven("", List.of(line.split(" ")));
+			assertThat(run.code(), is(0));
+			assertThat(run.output(), allOf(startsWith("usage: cyclamenstall"), containsString("catalogue-conflict")));
+		}
+
+		@Test
+		void aWrongTokenIsRefused() throws IOException {
+			CommandLineTests.this.daemon.write("token", "a-token-of-nobody-at-all");
+			OperatorFixture.Run run = CommandLineTests.this.daemon.run("status");
+			assertThat(run.code(), is(3));
+			assertThat(run.errors(), containsString("operator-unauthorized"));
+		}
+
+		@Test
+		void aDaemonThatIsDownIsNamed() {
+			CommandLineTests.this.daemon.close();
+			assertThat(CommandLineTests.this.daemon.run("status").code(), is(5));
+		}
+
+		@Test
+		void theHashOfAKeyIsPrinted() {
+			assertThat(OperatorFixture.runAsGiven("secret\n", List.of("key", "hash")).output().strip(),
+					is("2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"));
+		}
+
+	}
+
+	@Nested
+	class WhenNoTokenIsSent {
+
+		@ParameterizedTest
+		@CsvSource({ "/health,200", "/ready,200", "/metrics,401", "/v1/status,401", "/v1/catalogue,401",
+				"/nothing,404" })
+		void onlyHealthAndReadinessAreOpen(String path, int status) {
+			assertThat(get(path).status(), is(status));
+		}
+
+		@Test
+		void readinessIsApartFromHealth() {
+			CommandLineTests.this.daemon.readiness = new Readiness(false, "no catalogue");
+			assertThat(get("/ready").status(), is(503));
+			assertThat(get("/ready").text(), containsString("no catalogue"));
+			assertThat(get("/health").status(), is(200));
+		}
+
+		private HttpAnswer get(String path) {
+			try (BlockingHttpClient client = new BlockingHttpClient("test", CommandLineTests.this.daemon.address())) {
+				return client.call(HttpCall.get(path, java.time.Duration.ofSeconds(60)));
+			}
+		}
+
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
@@ -43,6 +43,8 @@
 
 	private static final long MAXIMUM_IDLE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+	private static final long CLOSE_LIMIT_MILLIS = 1_000;
+
 	private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
 
 	private final ConcurrentLinkedDeque<IdleConnection> idleConnections = new ConcurrentLinkedDeque<>();
@@ -98,7 +100,14 @@
 		this.idleConnections.forEach((idle) -> IoUtils.safeClose(idle.connection()));
 		this.idleConnections.clear();
 		this.worker.shutdownNow();
-		this.buffers.close();
+		try {
+			if (this.worker.awaitTermination(CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS)) {
+				this.buffers.close();
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private HttpAnswer callOnNewConnection(HttpCall call) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
@@ -111,7 +111,8 @@
 	public <T> T read(String text, String source, Class<T> type, Function<T, List<FieldFault>> check) {
 		YamlLines lines = lines(text, source);
 		if (lines.isEmpty()) {
-			throw new InvalidYamlException(this.kind, source, List.of(new YamlProblem(1, "", "the document holds no field")));
+			throw new InvalidYamlException(this.kind, source,
+					List.of(new YamlProblem(1, "", "the document holds no field")));
 		}
 		T document = parse(text, source, type, lines);
 		refuseProblems(source,
