Delete old claim records and end calls to frozen peers on close

The test with a frozen peer passed but took 60 s: closing a connection waited for the call in it.

One record a booking grows without bound, so the daemons walk through 4,096 shards together, one a second, and the one that rendezvous hashing chooses deletes what is older than the retention: about one listing a second for the whole deployment. A cursor kept in the store was weighed and costs writes.

--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/ClaimRetentionTests.java
@@ -0,0 +1,117 @@
+package org.cyclamenstall.test.claims;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.cyclamenstall.claims.ClaimDecision;
+import org.cyclamenstall.internal.claims.ClaimRetention;
+import org.cyclamenstall.junit.StoreCall;
+import org.cyclamenstall.junit.StoreOperation;
+import org.cyclamenstall.peers.Member;
+import org.cyclamenstall.peers.MemberState;
+import org.cyclamenstall.peers.Membership;
+import org.cyclamenstall.settings.ClaimSettings;
+import org.cyclamenstall.settings.StoreSettings;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link ClaimRetention}.
+ */
+class ClaimRetentionTests {
+
+	private static final int RETENTION_SECONDS = 3_600;
+
+	private final ClaimSite site = new ClaimSite("gara-1");
+
+	private ClaimRetention retention(String host) {
+		return new ClaimRetention(this.site.store(), new StoreSettings(null, "127.0.0.1", 1, "test", null, null),
+				new ClaimSettings(null, RETENTION_SECONDS, null), new FixedMembership(host), this.site.clock(),
+				new PrometheusRegistry());
+	}
+
+	private int cleanAllShards() {
+		ClaimRetention retention = retention("gara-1");
+		return IntStream.range(0, 4_096).map(retention::cleanShard).sum();
+	}
+
+	@Nested
+	class ARecord {
+
+		@Test
+		void isKeptThroughTheRetentionAndDeletedAfterIt() {
+			ClaimRetentionTests.this.site
+				.execute(((ClaimDecision.Granted) ClaimRetentionTests.this.site.press("gara-1")).claim());
+			ClaimRetentionTests.this.site.settleAll();
+			ClaimRetentionTests.this.site.clock().advance(Duration.ofSeconds(RETENTION_SECONDS));
+			assertThat(cleanAllShards(), is(0));
+			assertThat(ClaimRetentionTests.this.site.press("gara-1"), instanceOf(ClaimDecision.Replayed.class));
+			ClaimRetentionTests.this.site.clock().advance(Duration.ofSeconds(1));
+			assertThat(cleanAllShards(), is(1));
+			assertThat(ClaimRetentionTests.this.site.store().snapshot(), hasSize(0));
+		}
+
+		@Test
+		void thatWasReplacedMeanwhileIsKept() {
+			ClaimRetentionTests.this.site.press("gara-1");
+			ClaimRetentionTests.this.site.clock().advance(Duration.ofSeconds(RETENTION_SECONDS + 1));
+			ClaimRetentionTests.this.site.store().setBeforeEffect(this::replaceBeforeDeletion);
+			assertThat(cleanAllShards(), is(0));
+			assertThat(ClaimRetentionTests.this.site.store().snapshot(), hasSize(1));
+		}
+
+		private void replaceBeforeDeletion(StoreCall call) {
+			if (call.operation() == StoreOperation.DELETE) {
+				ClaimRetentionTests.this.site.press("gara-1");
+			}
+		}
+
+	}
+
+	@Nested
+	class AShard {
+
+		@Test
+		void hasOneOwnerAmongTheDaemons() {
+			List<ClaimRetention> daemons = FixedMembership.HOSTS.stream()
+				.map(ClaimRetentionTests.this::retention)
+				.toList();
+			for (int shard = 0; shard < 256; shard++) {
+				int number = shard;
+				assertThat(daemons.stream().filter((daemon) -> daemon.isOwner(number)).toList(), hasSize(1));
+			}
+		}
+
+	}
+
+	/**
+	 * Gives three live daemons.
+	 */
+	private record FixedMembership(String host) implements Membership {
+
+		static final List<String> HOSTS = List.of("gara-1", "gara-2", "gara-3");
+
+		@Override
+		public Member self() {
+			return member(this.host);
+		}
+
+		@Override
+		public List<Member> members() {
+			return HOSTS.stream().map(FixedMembership::member).toList();
+		}
+
+		private static Member member(String name) {
+			return new Member(name, 1, "ro-central-a", "127.0.0.2", 1, MemberState.ALIVE, 0);
+		}
+
+	}
+
+}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/ClaimSite.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/ClaimSite.java
@@ -87,6 +87,10 @@
 		return registry(host).claim(new ClaimRequest("bakery", "bookings", "key-1", bodyHash, host + this.presses));
 	}
 
+	ClaimDecision pressWithRequestId(String host, String requestId) {
+		return registry(host).claim(new ClaimRequest("bakery", "bookings", "key-1", "body", requestId));
+	}
+
 	/**
 	 * Sends a claimed request to the upstream and lets it run.
 	 * @param claim the claim
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/PeerDaemon.java
@@ -0,0 +1,186 @@
+package org.cyclamenstall.test.peers;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cyclamenstall.catalogue.CatalogueRecord;
+import org.cyclamenstall.claims.ClaimantAnswer;
+import org.cyclamenstall.hosts.HostList;
+import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.internal.catalogue.LocalCatalogue;
+import org.cyclamenstall.internal.peers.PeerExchange;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.peers.Member;
+import org.cyclamenstall.peers.MemberState;
+import org.cyclamenstall.policy.DemandExchange;
+import org.cyclamenstall.policy.DemandReport;
+import org.cyclamenstall.settings.CallerSettings;
+import org.cyclamenstall.settings.DaemonSettings;
+import org.cyclamenstall.settings.HostListSettings;
+import org.cyclamenstall.settings.OperatorSettings;
+import org.cyclamenstall.settings.PeerAddress;
+import org.cyclamenstall.settings.PeerSettings;
+import org.cyclamenstall.settings.PlatformSettings;
+import org.cyclamenstall.settings.StoreSettings;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs the exchange of one daemon with real sockets and without the rest of the daemon.
+ */
+final class PeerDaemon implements AutoCloseable {
+
+	/** Makes rounds so rare that only the first one and pushes matter. */
+	static final int RARE_ROUNDS_MILLIS = 60_000;
+
+	static final int FREQUENT_ROUNDS_MILLIS = 50;
+
+	private final LocalCatalogue catalogue = new LocalCatalogue(new PrometheusRegistry());
+
+	private final RecordedDemand demand = new RecordedDemand();
+
+	private final Map<String, ClaimantAnswer> claims = new ConcurrentHashMap<>();
+
+	private final PeerExchange exchange;
+
+	private final DaemonSettings settings;
+
+	private final String host;
+
+	private PeerDaemon(String host, long incarnation, PeerSettings peers) {
+		this.host = host;
+		this.settings = new DaemonSettings(host, "ro-central-a", "ro-central",
+				new CallerSettings("127.0.0.1", 0, null, null, null, null, null),
+				new OperatorSettings("127.0.0.1", 0, null), peers,
+				new PlatformSettings(new StoreSettings(null, "127.0.0.1", 1, null, null, null),
+						new HostListSettings(null, "127.0.0.1", 1, null, null, null)),
+				null, null, null, null);
+		this.exchange = new PeerExchange(this.settings, new EmptyHostList(), this.catalogue, this.demand,
+				(attempt) -> this.claims.getOrDefault(attempt, ClaimantAnswer.UNKNOWN), MonotonicClock.SYSTEM,
+				RandomSource.XO_RO_SHI_RO_128_PP.create(incarnation), new PrometheusRegistry())
+			.setIncarnation(incarnation);
+	}
+
+	static PeerDaemon create(String host, long incarnation, int exchangeMillis, PeerAddress... seeds) {
+		return create(host, incarnation,
+				new PeerSettings("127.0.0.2", 0, null, List.of(seeds), exchangeMillis, 10_000));
+	}
+
+	static PeerDaemon create(String host, long incarnation, PeerSettings peers) {
+		return new PeerDaemon(host, incarnation, peers);
+	}
+
+	PeerDaemon start() {
+		this.exchange.start();
+		return this;
+	}
+
+	PeerAddress seed() {
+		return new PeerAddress(this.host, "127.0.0.2", this.exchange.port());
+	}
+
+	PeerExchange exchange() {
+		return this.exchange;
+	}
+
+	LocalCatalogue catalogue() {
+		return this.catalogue;
+	}
+
+	RecordedDemand demand() {
+		return this.demand;
+	}
+
+	Map<String, ClaimantAnswer> claims() {
+		return this.claims;
+	}
+
+	int offer(CatalogueRecord... records) {
+		return this.catalogue.offer(List.of(records), "test");
+	}
+
+	long revision() {
+		return this.catalogue.summary().revision();
+	}
+
+	@Nullable MemberState stateOf(String other) {
+		return member(other).map(Member::state).orElse(null);
+	}
+
+	Optional<Member> member(String other) {
+		return this.exchange.members().stream().filter((member) -> member.host().equals(other)).findFirst();
+	}
+
+	@Override
+	public void close() {
+		this.exchange.close();
+	}
+
+	static CatalogueRecord record(String name, long revision) {
+		return new CatalogueRecord(name, revision, "edit-" + revision, "operator", 0, null);
+	}
+
+	/**
+	 * Records what the exchange tells of demand.
+	 */
+	static final class RecordedDemand implements DemandExchange {
+
+		private final Map<String, DemandReport> reports = new ConcurrentHashMap<>();
+
+		private volatile Set<String> live = Set.of();
+
+		@Override
+		public DemandReport localDemand() {
+			return new DemandReport(Map.of("limit", 2.5), Map.of("127.0.0.9:1", 3));
+		}
+
+		@Override
+		public void peerDemand(String peer, DemandReport report) {
+			this.reports.put(peer, report);
+		}
+
+		@Override
+		public void liveHosts(Set<String> hosts) {
+			this.live = Set.copyOf(hosts);
+		}
+
+		Map<String, DemandReport> reports() {
+			return this.reports;
+		}
+
+		Set<String> live() {
+			return this.live;
+		}
+
+	}
+
+	/**
+	 * Lists no host.
+	 */
+	private static final class EmptyHostList implements HostList {
+
+		private final List<Consumer<HostSnapshot>> listeners = new ArrayList<>();
+
+		@Override
+		public HostSnapshot current() {
+			return HostSnapshot.EMPTY;
+		}
+
+		@Override
+		public void addListener(Consumer<HostSnapshot> listener) {
+			this.listeners.add(listener);
+		}
+
+		@Override
+		public void watch(String service) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/PeerProtocolTests.java
@@ -0,0 +1,122 @@
+package org.cyclamenstall.test.peers;
+
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TField;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.protocol.TProtocolDecorator;
+import org.apache.thrift.protocol.TType;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.cyclamenstall.junit.ThrownBy;
+import org.cyclamenstall.peers.MemberState;
+import org.cyclamenstall.wire.ExchangeRequest;
+import org.cyclamenstall.wire.ExchangeResponse;
+import org.cyclamenstall.wire.Identity;
+import org.cyclamenstall.wire.PeerRefusal;
+import org.cyclamenstall.wire.PeerService;
+import org.cyclamenstall.wire.RefusalReason;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of the messages among daemons of different versions and incarnations.
+ */
+class PeerProtocolTests {
+
+	private final PeerDaemon daemon = PeerDaemon.create("gara-1", 1, PeerDaemon.RARE_ROUNDS_MILLIS).start();
+
+	private TTransport transport;
+
+	@BeforeEach
+	void connect() throws TException {
+		this.transport = new TFramedTransport(new TSocket("127.0.0.2", this.daemon.exchange().port(), 60_000));
+		this.transport.open();
+	}
+
+	@AfterEach
+	void close() {
+		this.transport.close();
+		this.daemon.close();
+	}
+
+	private PeerService.Client client() {
+		return new PeerService.Client(new TCompactProtocol(this.transport));
+	}
+
+	private static ExchangeRequest request(long incarnation) {
+		return new ExchangeRequest(new Identity("gara-2", incarnation));
+	}
+
+	@Nested
+	class WhenTheSenderIsOfAnotherVersion {
+
+		@Test
+		void aMessageWithRequiredFieldsOnlyIsAnswered() throws TException {
+			PeerProtocolTests.this.daemon.offer(PeerDaemon.record("chat", 4));
+			ExchangeResponse response = client().exchange(request(1));
+			assertThat(response.getReceiver().getHost(), is("gara-1"));
+			assertThat(response.getCatalogueRevision(), is(4L));
+			assertThat(PeerProtocolTests.this.daemon.stateOf("gara-2"), is(MemberState.ALIVE));
+		}
+
+		@Test
+		void unknownFieldsAreLeftOut() throws TException {
+			TProtocol newer = new NewerProtocol(new TCompactProtocol(PeerProtocolTests.this.transport));
+			ExchangeResponse response = new PeerService.Client(newer).exchange(request(1));
+			assertThat(response.getReceiver().getHost(), is("gara-1"));
+			assertThat(PeerProtocolTests.this.daemon.stateOf("gara-2"), is(MemberState.ALIVE));
+		}
+
+	}
+
+	@Nested
+	class WhenTheSenderWasReplaced {
+
+		@Test
+		void itsOlderIncarnationIsRefusedAndChangesNothing() throws TException {
+			client().exchange(request(5));
+			ExchangeRequest old = request(4);
+			old.setLeaving(true);
+			PeerRefusal refusal = ThrownBy.call(PeerRefusal.class, () -> client().exchange(old));
+			assertThat(refusal.getReason(), is(RefusalReason.OLDER_INCARNATION));
+			assertThat(PeerProtocolTests.this.daemon.stateOf("gara-2"), is(MemberState.ALIVE));
+		}
+
+		@Test
+		void aSecondDaemonWithTheNameOfThisHostIsRefused() {
+			ExchangeRequest twin = new ExchangeRequest(new Identity("gara-1", 9));
+			PeerRefusal refusal = ThrownBy.call(PeerRefusal.class, () -> client().exchange(twin));
+			assertThat(refusal.getReason(), is(RefusalReason.SAME_HOST));
+		}
+
+	}
+
+	/**
+	 * Adds a field that this version does not know to every structure.
+	 */
+	private static final class NewerProtocol extends TProtocolDecorator {
+
+		private static final short UNKNOWN_FIELD = 99;
+
+		NewerProtocol(TProtocol protocol) {
+			super(protocol);
+		}
+
+		@Override
+		public void writeFieldStop() throws TException {
+			super.writeFieldBegin(new TField("newer", TType.STRING, UNKNOWN_FIELD));
+			super.writeString("unknown to this version");
+			super.writeFieldEnd();
+			super.writeFieldStop();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/RandomFanoutTests.java
@@ -0,0 +1,51 @@
+package org.cyclamenstall.test.peers;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.cyclamenstall.internal.peers.RandomFanout;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link RandomFanout}.
+ */
+class RandomFanoutTests {
+
+	private final RandomFanout selection = new RandomFanout(4, RandomSource.XO_RO_SHI_RO_128_PP.create(7L));
+
+	@Nested
+	class EachWalk {
+
+		@Test
+		void reachesEveryPeerOnce() {
+			List<String> hosts = IntStream.range(0, 40).mapToObj((number) -> "gara-" + number).toList();
+			Set<String> reached = new HashSet<>();
+			for (int round = 0; round < 10; round++) {
+				List<String> chosen = RandomFanoutTests.this.selection.select(hosts);
+				assertThat(chosen, hasSize(4));
+				reached.addAll(chosen);
+			}
+			assertThat(reached, is(Set.copyOf(hosts)));
+		}
+
+		@Test
+		void leavesOutPeersThatAreGone() {
+			List<String> hosts = IntStream.range(0, 40).mapToObj((number) -> "gara-" + number).toList();
+			RandomFanoutTests.this.selection.select(hosts);
+			assertThat(RandomFanoutTests.this.selection.select(List.of("gara-1")), contains("gara-1"));
+			assertThat(RandomFanoutTests.this.selection.select(List.of()), empty());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/ClaimRetention.java
@@ -0,0 +1,167 @@
+package org.cyclamenstall.internal.claims;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.kernel.Service;
+import org.cyclamenstall.peers.Member;
+import org.cyclamenstall.peers.MemberState;
+import org.cyclamenstall.peers.Membership;
+import org.cyclamenstall.settings.ClaimSettings;
+import org.cyclamenstall.settings.StoreSettings;
+import org.cyclamenstall.store.ConfigurationStore;
+import org.cyclamenstall.store.StorePriority;
+import org.cyclamenstall.store.StoreRecord;
+import org.cyclamenstall.store.WriteResult;
+
+/**
+ * Deletes claim records that are older than the retention. All daemons walk through the
+ * shards together, one a second by the wall clock, and the daemon that rendezvous hashing
+ * chooses cleans the shard; so the whole deployment makes about one listing a second,
+ * whatever its size. A record is deleted only in the version in which it was read.
+ * Thread-safe.
+ */
+public final class ClaimRetention implements Service {
+
+	private static final Logger logger = LogManager.getLogger(ClaimRetention.class);
+
+	private static final int DELETIONS_PER_VISIT = 50;
+
+	private static final long VISIT_MILLIS = 1_000;
+
+	private final ConfigurationStore store;
+
+	private final ClaimKeys keys;
+
+	private final long retentionMillis;
+
+	private final Membership membership;
+
+	private final InstantSource wallClock;
+
+	private final Counter deletions;
+
+	private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread thread = new Thread(task, "claim-retention");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	/**
+	 * Creates the service.
+	 * @param store the store
+	 * @param storeSettings the settings of the store, for the prefix of keys
+	 * @param settings the bounds on claims
+	 * @param membership the daemons that share the work
+	 * @param wallClock the wall clock
+	 * @param metrics the registry of metrics
+	 */
+	public ClaimRetention(ConfigurationStore store, StoreSettings storeSettings, ClaimSettings settings,
+			Membership membership, InstantSource wallClock, PrometheusRegistry metrics) {
+		this.store = store;
+		this.keys = new ClaimKeys(storeSettings.prefix());
+		this.retentionMillis = TimeUnit.SECONDS.toMillis(settings.retentionSeconds());
+		this.membership = membership;
+		this.wallClock = wallClock;
+		this.deletions = Counter.builder()
+			.name("cyclamenstall_claim_deletions_total")
+			.help("Claim records deleted after their retention")
+			.register(metrics);
+	}
+
+	@Override
+	public void start() {
+		this.scheduler.scheduleWithFixedDelay(this::visit, VISIT_MILLIS, VISIT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void close() {
+		this.scheduler.shutdownNow();
+	}
+
+	/**
+	 * Deletes old records of one shard, a bounded number at a time. Blocks on the store.
+	 * @param shard the number of the shard
+	 * @return the number of deleted records
+	 */
+	public int cleanShard(int shard) {
+		int deleted = 0;
+		for (StoreRecord record : this.store.list(this.keys.shardPrefix(shard), StorePriority.BACKGROUND).records()) {
+			if (deleted < DELETIONS_PER_VISIT && isExpired(record) && delete(record) == WriteResult.APPLIED) {
+				deleted++;
+			}
+		}
+		this.deletions.inc(deleted);
+		return deleted;
+	}
+
+	/**
+	 * Returns the shard whose turn it is.
+	 * @return the number of the shard
+	 */
+	public int currentShard() {
+		return (int) Math.floorMod(this.wallClock.millis() / VISIT_MILLIS, (long) ClaimKeys.SHARDS);
+	}
+
+	/**
+	 * Returns whether this daemon cleans a shard.
+	 * @param shard the number of the shard
+	 * @return {@code true} if it is the chosen one among the daemons that are alive
+	 */
+	public boolean isOwner(int shard) {
+		String self = this.membership.self().host();
+		List<Member> members = this.membership.members();
+		return members.stream()
+			.filter((member) -> member.state() == MemberState.ALIVE || member.host().equals(self))
+			.map(Member::host)
+			.max(Comparator.comparingLong((host) -> weight(shard, host)))
+			.filter(self::equals)
+			.isPresent();
+	}
+
+	private void visit() {
+		try {
+			int shard = currentShard();
+			if (isOwner(shard)) {
+				cleanShard(shard);
+			}
+		}
+		catch (RouterException ex) {
+			logger.debug("Old claims are not cleaned now: {}", ex.getMessage());
+		}
+		catch (RuntimeException ex) {
+			logger.error("The cleaning of old claims failed", ex);
+		}
+	}
+
+	private boolean isExpired(StoreRecord record) {
+		try {
+			return this.wallClock.millis() - ClaimRecord.parse(record.value()).claimedAtMillis() > this.retentionMillis;
+		}
+		catch (IOException ex) {
+			logger.error("Claim record {} is malformed and stays", record.key());
+			return false;
+		}
+	}
+
+	private WriteResult delete(StoreRecord record) {
+		return this.store.compareAndDelete(record.key(), record.version(), StorePriority.BACKGROUND);
+	}
+
+	private static long weight(int shard, String host) {
+		return MurmurHash3.hash128x64((shard + "/" + host).getBytes(StandardCharsets.UTF_8))[0];
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerConnection.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerConnection.java
@@ -14,7 +14,7 @@
  * Keeps one connection to a peer open between calls. A call on a connection that the peer
  * closed meanwhile is made once more on a new one; every call of the protocol is
  * idempotent. Connecting and reading are bounded in time. Thread-safe; calls wait for
- * each other.
+ * each other, and closing ends a call that waits for the peer.
  */
 final class PeerConnection implements AutoCloseable {
 
@@ -22,11 +22,11 @@
 
 	private final PeerMetrics metrics;
 
-	private @Nullable TTransport transport;
+	private @Nullable volatile TTransport transport;
 
 	private @Nullable PeerEndpoint endpoint;
 
-	private boolean closed;
+	private volatile boolean closed;
 
 	PeerConnection(int timeoutMillis, PeerMetrics metrics) {
 		this.timeoutMillis = timeoutMillis;
@@ -55,7 +55,7 @@
 	}
 
 	@Override
-	public synchronized void close() {
+	public void close() {
 		this.closed = true;
 		disconnect();
 	}
@@ -74,24 +74,29 @@
 		if (this.closed) {
 			throw new TTransportException(TTransportException.NOT_OPEN, "closed");
 		}
-		if (this.transport != null && target.equals(this.endpoint)) {
-			return this.transport;
+		TTransport current = this.transport;
+		if (current != null && target.equals(this.endpoint)) {
+			return current;
 		}
 		disconnect();
 		TSocket socket = new TSocket(TConfiguration.DEFAULT, target.address(), target.port(), this.timeoutMillis,
 				this.timeoutMillis);
 		TTransport counting = new CountingTransport(socket, this.metrics::sent, this.metrics::received);
 		TTransport framed = new TFramedTransport(counting);
-		framed.open();
 		this.transport = framed;
 		this.endpoint = target;
+		framed.open();
+		if (this.closed) {
+			disconnect();
+		}
 		return framed;
 	}
 
 	private void disconnect() {
-		if (this.transport != null) {
-			this.transport.close();
-			this.transport = null;
+		TTransport current = this.transport;
+		this.transport = null;
+		if (current != null) {
+			current.close();
 		}
 	}
 
