--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/ClaimRetention.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/ClaimRetention.java
@@ -30,7 +30,9 @@
  * Deletes claim records that are older than the retention. All daemons walk through the
  * shards together, one a second by the wall clock, and the daemon that rendezvous hashing
  * chooses cleans the shard; so the whole deployment makes about one listing a second,
- * whatever its size. A record is deleted only in the version in which it was read.
+ * whatever its size. A record is deleted only in the version in which it was read, and
+ * one that tells no end is kept for at least a day, because its claimant may be paused or
+ * wait for an upstream.
  * Thread-safe.
  */
 public final class ClaimRetention implements Service {
@@ -41,6 +43,8 @@
 
 	private static final long VISIT_MILLIS = 1_000;
 
+	private static final long OPEN_CLAIM_MILLIS = TimeUnit.DAYS.toMillis(1);
+
 	private final ConfigurationStore store;
 
 	private final ClaimKeys keys;
@@ -148,7 +152,10 @@
 
 	private boolean isExpired(StoreRecord record) {
 		try {
-			return this.wallClock.millis() - ClaimRecord.parse(record.value()).claimedAtMillis() > this.retentionMillis;
+			ClaimRecord claim = ClaimRecord.parse(record.value());
+			boolean open = claim.outcome() == ClaimOutcome.CLAIMED;
+			long kept = open ? Math.max(OPEN_CLAIM_MILLIS, this.retentionMillis) : this.retentionMillis;
+			return this.wallClock.millis() - claim.claimedAtMillis() > kept;
 		}
 		catch (IOException ex) {
 			logger.error("Claim record {} is malformed and stays", record.key());
