--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/PeerBench.java
@@ -0,0 +1,201 @@
+package org.cyclamenstall.standin.bench;
+
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.cyclamenstall.internal.peers.AllPeers;
+import org.cyclamenstall.internal.peers.PeerSelection;
+import org.cyclamenstall.internal.peers.RandomFanout;
+import org.cyclamenstall.kernel.Closer;
+import org.cyclamenstall.settings.PeerAddress;
+
+/**
+ * Measures what the exchange costs each of 2 to 40 daemons in one process, over real
+ * sockets on the loopback network, and how long a catalogue change takes to be in force
+ * on all; then computes the spread of a change among up to 400 daemons from the decision
+ * logic alone. Bytes are those of the messages, both directions at one daemon, without
+ * the headers of TCP and IP.
+ */
+public final class PeerBench {
+
+	private static final int[] DAEMONS = { 2, 5, 10, 20, 40 };
+
+	private static final int[] SIMULATED_DAEMONS = { 40, 100, 200, 400 };
+
+	private static final int FANOUT = 4;
+
+	private static final int EXCHANGE_MILLIS = 1_000;
+
+	private static final int REPORT_ENTRIES = 20;
+
+	private static final int SETTLE_SECONDS = 4;
+
+	private static final int MEASURE_SECONDS = 10;
+
+	private static final int CHANGES = 10;
+
+	private static final long CHANGE_PAUSE_MILLIS = 300;
+
+	private static final int SEEDS = 20;
+
+	private final PrintStream output;
+
+	private PeerBench(PrintStream output) {
+		this.output = output;
+	}
+
+	/**
+	 * Runs the bench and prints its tables.
+	 * @param arguments {@code sockets}, {@code spread} or nothing for both
+	 * @throws InterruptedException if the process is interrupted
+	 */
+	public static void main(String[] arguments) throws InterruptedException {
+		Configurator.setRootLevel(Level.WARN);
+		PeerBench bench = new PeerBench(System.out);
+		String part = (arguments.length > 0) ? arguments[0] : "";
+		if (!part.equals("spread")) {
+			bench.measureSockets();
+		}
+		if (!part.equals("sockets")) {
+			bench.computeSpread();
+		}
+	}
+
+	private void measureSockets() throws InterruptedException {
+		this.output.println("selection daemons exchanges/s bytes/s/daemon bytes/exchange cpu-%-of-core/daemon"
+				+ " heap-KB/daemon threads/daemon in-force-ms-median in-force-ms-worst");
+		for (int daemons : DAEMONS) {
+			measure("all", daemons);
+		}
+		for (int daemons : DAEMONS) {
+			measure("fanout-" + FANOUT, daemons);
+		}
+	}
+
+	private void measure(String selection, int count) throws InterruptedException {
+		long heapBefore = usedHeapBytes();
+		int threadsBefore = ManagementFactory.getThreadMXBean().getThreadCount();
+		try (Closer closer = new Closer()) {
+			List<PeerBenchDaemon> daemons = start(selection, count, closer);
+			TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
+			double bytes = -sumBytes(daemons);
+			double exchanges = -sumExchanges(daemons);
+			long cpuNanos = -processCpuNanos();
+			TimeUnit.SECONDS.sleep(MEASURE_SECONDS);
+			cpuNanos += processCpuNanos();
+			bytes += sumBytes(daemons);
+			exchanges += sumExchanges(daemons);
+			int threads = ManagementFactory.getThreadMXBean().getThreadCount() - threadsBefore;
+			long heapBytes = usedHeapBytes() - heapBefore;
+			List<Double> millis = measureChanges(daemons);
+			double cpuPercent = 100.0 * cpuNanos / TimeUnit.SECONDS.toNanos(MEASURE_SECONDS) / count;
+			this.output.printf(Locale.ROOT, "%s %d %.2f %.0f %.0f %.3f %.0f %.1f %.1f %.1f%n", selection, count,
+					exchanges / count / MEASURE_SECONDS, 2 * bytes / count / MEASURE_SECONDS, bytes / exchanges,
+					cpuPercent, heapBytes / 1_024.0 / count, (double) threads / count, millis.get(CHANGES / 2),
+					millis.get(CHANGES - 1));
+			requireFullMembership(daemons);
+		}
+	}
+
+	private List<PeerBenchDaemon> start(String selection, int count, Closer closer) {
+		List<PeerBenchDaemon> daemons = new ArrayList<>();
+		List<PeerAddress> seeds = new ArrayList<>();
+		for (int number = 0; number < count; number++) {
+			PeerSelection choice = selection.equals("all") ? new AllPeers()
+					: new RandomFanout(FANOUT, RandomSource.XO_RO_SHI_RO_128_PP.create(number));
+			PeerBenchDaemon daemon = new PeerBenchDaemon(number, List.copyOf(seeds), choice, EXCHANGE_MILLIS,
+					REPORT_ENTRIES);
+			daemons.add(closer.register(daemon).start());
+			daemon.catalogue().offer(List.of(PeerBenchDaemon.record("chat", 1)), "store");
+			seeds.add(daemon.seed());
+		}
+		return daemons;
+	}
+
+	private List<Double> measureChanges(List<PeerBenchDaemon> daemons) throws InterruptedException {
+		List<Double> millis = new ArrayList<>();
+		for (long revision = 2; revision < 2 + CHANGES; revision++) {
+			millis.add(measureChange(daemons, revision));
+			TimeUnit.MILLISECONDS.sleep(CHANGE_PAUSE_MILLIS);
+		}
+		millis.sort(null);
+		return millis;
+	}
+
+	private static double measureChange(List<PeerBenchDaemon> daemons, long revision) throws InterruptedException {
+		CountDownLatch inForce = new CountDownLatch(daemons.size());
+		for (PeerBenchDaemon daemon : daemons) {
+			daemon.catalogue().addListener((catalogue) -> {
+				if (catalogue.revision() == revision) {
+					inForce.countDown();
+				}
+			});
+		}
+		long start = System.nanoTime();
+		daemons.get(0).catalogue().offer(List.of(PeerBenchDaemon.record("chat", revision)), "store");
+		inForce.await();
+		return (System.nanoTime() - start) / 1e6;
+	}
+
+	private static void requireFullMembership(List<PeerBenchDaemon> daemons) {
+		for (PeerBenchDaemon daemon : daemons) {
+			if (daemon.knownMembers() != daemons.size()) {
+				throw new IllegalStateException("A daemon knows only " + daemon.knownMembers() + " members");
+			}
+		}
+	}
+
+	private void computeSpread() {
+		this.output.println("spread selection daemons unreachable-% seeds messages/daemon/change"
+				+ " all-in-force-ms-median all-in-force-ms-worst rounds-worst");
+		for (int daemons : SIMULATED_DAEMONS) {
+			for (int unreachable : new int[] { 0, 17 }) {
+				spread("all", daemons, unreachable, 0);
+				for (int fanout : new int[] { 2, 3, FANOUT, 6 }) {
+					spread("fanout-" + fanout, daemons, unreachable, fanout);
+				}
+			}
+		}
+	}
+
+	private void spread(String selection, int daemons, int unreachablePercent, int fanout) {
+		List<Double> millis = new ArrayList<>();
+		double messages = 0;
+		for (int seed = 1; seed <= SEEDS; seed++) {
+			SpreadComputation run = new SpreadComputation(daemons, unreachablePercent, fanout, EXCHANGE_MILLIS, seed);
+			millis.add(run.millisUntilAll());
+			messages += run.messagesPerDaemon() / SEEDS;
+		}
+		millis.sort(null);
+		this.output.printf(Locale.ROOT, "spread %s %d %d %d %.1f %.0f %.0f %.1f%n", selection, daemons,
+				unreachablePercent, SEEDS, messages, millis.get(SEEDS / 2), millis.get(SEEDS - 1),
+				millis.get(SEEDS - 1) / EXCHANGE_MILLIS);
+	}
+
+	private static double sumBytes(List<PeerBenchDaemon> daemons) {
+		return daemons.stream().mapToDouble(PeerBenchDaemon::bytes).sum();
+	}
+
+	private static double sumExchanges(List<PeerBenchDaemon> daemons) {
+		return daemons.stream().mapToDouble(PeerBenchDaemon::exchanges).sum();
+	}
+
+	private static long processCpuNanos() {
+		return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+			.getProcessCpuTime();
+	}
+
+	private static long usedHeapBytes() {
+		System.gc();
+		return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+	}
+
+}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/ClaimExplorationTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/ClaimExplorationTests.java
@@ -169,7 +169,10 @@
 			switch (this.choices.choose(4)) {
 				case 0 -> this.site.execute(claim);
 				case 1 -> this.held.add(claim);
-				case 2 -> claim.abandon();
+				case 2 -> {
+					claim.abandon();
+					this.held.add(claim);
+				}
 				default -> {
 					claim.beginSending();
 					claim.provedNotRun();
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/StoreClaimRegistryTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/StoreClaimRegistryTests.java
@@ -100,6 +100,15 @@
 			assertThat(claim.beginSending(), is(false));
 		}
 
+		@Test
+		void anAbandonedOneIsNeverSent() {
+			Claim claim = granted("gara-1");
+			assertThat(claim.abandon(), is(true));
+			assertThat(claim.beginSending(), is(false));
+			claim.provedNotRun();
+			assertThat(claim.beginSending(), is(false));
+		}
+
 		@Test
 		void itCanBeSentAgainAfterProofThatItDidNotRun() {
 			Claim claim = granted("gara-1");
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/ClaimRetention.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/ClaimRetention.java
@@ -32,8 +32,7 @@
  * chooses cleans the shard; so the whole deployment makes about one listing a second,
  * whatever its size. A record is deleted only in the version in which it was read, and
  * one that tells no end is kept for at least a day, because its claimant may be paused or
- * wait for an upstream.
- * Thread-safe.
+ * wait for an upstream. Thread-safe.
  */
 public final class ClaimRetention implements Service {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerCaller.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerCaller.java
@@ -39,6 +39,8 @@
 
 	private final DemandExchange demand;
 
+	private final DemandBound demandBound;
+
 	private final PeerMetrics metrics;
 
 	private final int timeoutMillis;
@@ -46,13 +48,15 @@
 	private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
 
 	PeerCaller(Supplier<PeerIdentity> self, MemberTable table, PeerReceiver receiver, PeerSecret secret,
-			CatalogueSync catalogue, DemandExchange demand, PeerMetrics metrics, int timeoutMillis) {
+			CatalogueSync catalogue, DemandExchange demand, DemandBound demandBound, PeerMetrics metrics,
+			int timeoutMillis) {
 		this.self = self;
 		this.table = table;
 		this.receiver = receiver;
 		this.secret = secret;
 		this.catalogue = catalogue;
 		this.demand = demand;
+		this.demandBound = demandBound;
 		this.metrics = metrics;
 		this.timeoutMillis = timeoutMillis;
 	}
@@ -141,7 +145,7 @@
 		ExchangeRequest request = new ExchangeRequest(PeerMessages.toWire(this.self.get()));
 		request.setSecret(this.secret.value());
 		request.setLeaving(this.receiver.isLeaving());
-		request.setDemand(PeerMessages.toWire(this.demand.localDemand()));
+		request.setDemand(PeerMessages.toWire(this.demandBound.apply(this.demand.localDemand())));
 		request.setNewcomer(this.table.incarnation(host) == 0);
 		return request;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerExchange.java
@@ -38,6 +38,8 @@
 
 	private static final Logger logger = LogManager.getLogger(PeerExchange.class);
 
+	private static final int REPORTED_ENTRIES = 128;
+
 	private final DaemonSettings settings;
 
 	private final HostList hosts;
@@ -119,12 +121,13 @@
 		CatalogueSync sync = new CatalogueSync(this.catalogue);
 		MemberTable members = new MemberTable(this.identity, peers.exchangeMillis(), this.clock);
 		this.table = members;
-		PeerHandler handler = new PeerHandler(() -> this.identity, secret, this, sync, this.demand, this.claims,
+		DemandBound bound = new DemandBound(REPORTED_ENTRIES);
+		PeerHandler handler = new PeerHandler(() -> this.identity, secret, this, sync, this.demand, bound, this.claims,
 				this.metrics);
 		PeerServer server = this.closer.register(new PeerServer(peers.address(), peers.port(), handler));
 		this.identity = boundIdentity(server.port());
 		PeerCaller peerCaller = this.closer.register(new PeerCaller(() -> this.identity, members, this, secret, sync,
-				this.demand, this.metrics, peers.timeoutMillis()));
+				this.demand, bound, this.metrics, peers.timeoutMillis()));
 		this.caller = peerCaller;
 		ExchangeRounds exchangeRounds = this.closer
 			.register(new ExchangeRounds(members, peerCaller, sync, this.selection, peers, this::afterRound));
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerHandler.java
@@ -30,17 +30,20 @@
 
 	private final DemandExchange demand;
 
+	private final DemandBound demandBound;
+
 	private final PeerClaimSource claims;
 
 	private final PeerMetrics metrics;
 
 	PeerHandler(Supplier<PeerIdentity> self, PeerSecret secret, PeerReceiver receiver, CatalogueSync catalogue,
-			DemandExchange demand, PeerClaimSource claims, PeerMetrics metrics) {
+			DemandExchange demand, DemandBound demandBound, PeerClaimSource claims, PeerMetrics metrics) {
 		this.self = self;
 		this.secret = secret;
 		this.receiver = receiver;
 		this.catalogue = catalogue;
 		this.demand = demand;
+		this.demandBound = demandBound;
 		this.claims = claims;
 		this.metrics = metrics;
 	}
@@ -70,7 +73,7 @@
 	private ExchangeResponse response(ExchangeRequest request) {
 		ExchangeResponse response = new ExchangeResponse(PeerMessages.toWire(this.self.get()));
 		response.setLeaving(this.receiver.isLeaving());
-		response.setDemand(PeerMessages.toWire(this.demand.localDemand()));
+		response.setDemand(PeerMessages.toWire(this.demandBound.apply(this.demand.localDemand())));
 		this.catalogue.fill(response, request);
 		if (request.isSetNewcomer() && request.isNewcomer()) {
 			response.setMembers(this.receiver.identities().stream().map(PeerMessages::toWire).toList());
