Let the lower tiers' part follow the last seconds' demand above them

Cause: at the crest the lower tiers held up to 60% of the slots, were preempted and resumed at once when a slot fell free for a moment, and after three preemptions could not be preempted any more. Besides, an answer of a few tokens gave a pause of zero between tokens, which became the floor of the adaptive window and shrank it to one.

Change: the lower tiers may hold what the higher tiers did not want lately, with a half-life of 2 s, at least a tenth; the victim is the stream preempted least often; short answers give no pause.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyGrant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyGrant.java
@@ -15,6 +15,8 @@
  */
 final class PolicyGrant implements Grant {
 
+	private static final int LEAST_GAPS = 20;
+
 	private final PolicyTrafficController controller;
 
 	private final PolicyTicket ticket;
@@ -124,7 +126,8 @@
 
 	long averageGapNanos() {
 		long count = this.produced.get() - 1;
-		return (this.answering && count > 0) ? (this.tokensAtNanos.get() - this.firstTokenAtNanos) / count : 0;
+		return (this.answering && count >= LEAST_GAPS) ? (this.tokensAtNanos.get() - this.firstTokenAtNanos) / count
+				: 0;
 	}
 
 	boolean startAnswering(long nowNanos) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PreemptionRule.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PreemptionRule.java
@@ -13,9 +13,9 @@
  */
 final class PreemptionRule {
 
-	private static final int LARGEST_PREEMPTIONS = 3;
+	private static final int LARGEST_PREEMPTIONS = 8;
 
-	private static final long LEAST_TOKENS = 16;
+	private static final long LEAST_TOKENS = 1;
 
 	@Nullable PolicyGrant victim(Set<PolicyGrant> running, Tier waiting) {
 		PolicyGrant victim = null;
@@ -29,7 +29,9 @@
 	}
 
 	private static boolean isBetter(PolicyGrant grant, PolicyGrant victim) {
-		int order = grant.ticket().tier().compareTo(victim.ticket().tier());
+		int byTier = grant.ticket().tier().compareTo(victim.ticket().tier());
+		int byCount = Integer.compare(victim.ticket().preemptions(), grant.ticket().preemptions());
+		int order = (byTier != 0) ? byTier : byCount;
 		return order > 0 || (order == 0 && grant.produced() > victim.produced());
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/SlotRules.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/SlotRules.java
@@ -19,9 +19,9 @@
 
 	private static final double LEAST_RESERVE = 0.1;
 
-	private static final double LARGEST_RESERVE = 0.4;
+	private static final double LARGEST_RESERVE = 0.9;
 
-	private static final double PEAK_HALF_LIFE_NANOS = 20e9;
+	private static final double PEAK_HALF_LIFE_NANOS = 2e9;
 
 	private static final int AGED_AT_A_TIME = 1;
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/upstream/AdaptiveWindow.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/upstream/AdaptiveWindow.java
@@ -42,6 +42,9 @@
 
 	@Override
 	public void tokenGap(long durationNanos) {
+		if (durationNanos <= 0) {
+			return;
+		}
 		this.gapFloor = floor(this.gapFloor, durationNanos);
 		if (durationNanos > GAP_TOLERANCE * this.gapFloor) {
 			this.limit = Math.max(1, this.limit * DECREASE);
