Advertise a peer address other than the one listened on

A daemon told its peers the address that it binds, so a relay before it (a fault proxy here, an address translation at a site) was passed by as soon as the first exchange had worked, and 'cut from peers' could not be brought about. Binding the wildcard address was ruled out: it needs the secret and listens beyond the loopback network. Two optional settings, advertisedAddress and advertisedPort, name what peers are told.

--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/Site.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/Site.java
@@ -6,6 +6,9 @@
 import org.cyclamenstall.standin.Standin;
 import org.cyclamenstall.standin.engine.EngineFaults;
 import org.cyclamenstall.standin.engine.EngineStandin;
+import org.cyclamenstall.standin.faultproxy.Direction;
+import org.cyclamenstall.standin.faultproxy.FaultAction;
+import org.cyclamenstall.standin.faultproxy.FaultRule;
 import org.cyclamenstall.standin.platform.HostListFaults;
 import org.cyclamenstall.standin.platform.HostListStandin;
 import org.cyclamenstall.standin.platform.StoreFaults;
@@ -19,6 +22,8 @@
  */
 public final class Site implements AutoCloseable {
 
+	private static final int SENDER_BYTES = 60;
+
 	private final Closer closer;
 
 	private final StoreStandin store;
@@ -128,6 +133,20 @@
 		return this.services.stream().mapToLong((upstream) -> upstream.standin().executionsOfKey(key)).sum();
 	}
 
+	/**
+	 * Cuts a daemon off from every other one, in both directions.
+	 * @param index its index
+	 */
+	public void cutFromPeers(int index) {
+		DaemonInstance alone = daemon(index);
+		alone.peerProxy().cut();
+		String fromIt = "(?s)^.{0," + SENDER_BYTES + "}" + alone.host();
+		this.daemons.stream().filter((other) -> other != alone).forEach((other) -> {
+			other.peerProxy().add(FaultRule.on(Direction.REQUEST, FaultAction.RESET).matching(fromIt).build());
+			other.peerProxy().resetConnections();
+		});
+	}
+
 	/**
 	 * Ends every fault of the stand-ins and proxies.
 	 */
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteLauncher.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteLauncher.java
@@ -157,9 +157,10 @@
 		return new DaemonSettings(plan.host(), plan.failureDomain(), this.settings.names().region(),
 				new CallerSettings(address, plan.callers().getPort(), null, null, null, null, null),
 				new OperatorSettings(address, plan.operators().getPort(), null),
-				new PeerSettings(address, plan.peers().getPort(), null, seeds, this.settings.exchangeMillis(), null),
+				new PeerSettings(address, plan.peers().getPort(), null, seeds, this.settings.exchangeMillis(), null,
+						plan.seed().address(), plan.seed().port()),
 				platform(plan), this.settings.policy(), this.settings.claims(), this.settings.shutdown(),
-				new LogSettings("console", "info"));
+				new LogSettings("console", this.settings.logLevel()));
 	}
 
 	private PlatformSettings platform(DaemonPlan plan) {
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteSettings.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteSettings.java
@@ -21,15 +21,16 @@
  * @param storeTimeoutMillis the longest wait of a daemon for the store, in milliseconds
  * @param exchangeMillis the pause between two exchanges with a peer, in milliseconds
  * @param pollMillis the pause between two reads of the host list, in milliseconds
+ * @param logLevel the lowest level that the daemons log
  */
 public record SiteSettings(SiteNames names, int daemons, List<UpstreamGroup> engines, List<UpstreamGroup> services,
 		EngineOptions engineOptions, PolicySettings policy, ClaimSettings claims, ShutdownSettings shutdown,
-		int storeTimeoutMillis, int exchangeMillis, int pollMillis) {
+		int storeTimeoutMillis, int exchangeMillis, int pollMillis, String logLevel) {
 
 	/** Holds a small site with short bounds. */
 	public static final SiteSettings SMALL = new SiteSettings(new SiteNames("ro-central", "entry"), 2,
 			List.of(new UpstreamGroup("cuptor", 2)), List.of(new UpstreamGroup("ghiseu", 2)), engine(),
-			PolicySettings.DEFAULTS, ClaimSettings.DEFAULTS, new ShutdownSettings(500, 120), 1_000, 200, 200);
+			PolicySettings.DEFAULTS, ClaimSettings.DEFAULTS, new ShutdownSettings(500, 120), 1_000, 200, 200, "info");
 
 	/**
 	 * Returns these settings with other names.
@@ -38,7 +39,8 @@
 	 */
 	public SiteSettings withNames(SiteNames others) {
 		return new SiteSettings(others, this.daemons, this.engines, this.services, this.engineOptions, this.policy,
-				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis,
+				this.logLevel);
 	}
 
 	/**
@@ -48,7 +50,8 @@
 	 */
 	public SiteSettings withDaemons(int number) {
 		return new SiteSettings(this.names, number, this.engines, this.services, this.engineOptions, this.policy,
-				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis,
+				this.logLevel);
 	}
 
 	/**
@@ -59,7 +62,8 @@
 	 */
 	public SiteSettings withUpstreams(List<UpstreamGroup> engineGroups, List<UpstreamGroup> serviceGroups) {
 		return new SiteSettings(this.names, this.daemons, engineGroups, serviceGroups, this.engineOptions, this.policy,
-				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis,
+				this.logLevel);
 	}
 
 	/**
@@ -69,7 +73,8 @@
 	 */
 	public SiteSettings withEngineOptions(EngineOptions options) {
 		return new SiteSettings(this.names, this.daemons, this.engines, this.services, options, this.policy,
-				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis,
+				this.logLevel);
 	}
 
 	/**
@@ -79,7 +84,8 @@
 	 */
 	public SiteSettings withPolicy(PolicySettings policies) {
 		return new SiteSettings(this.names, this.daemons, this.engines, this.services, this.engineOptions, policies,
-				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis,
+				this.logLevel);
 	}
 
 	/**
@@ -89,7 +95,7 @@
 	 */
 	public SiteSettings withClaims(ClaimSettings bounds) {
 		return new SiteSettings(this.names, this.daemons, this.engines, this.services, this.engineOptions, this.policy,
-				bounds, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+				bounds, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis, this.logLevel);
 	}
 
 	/**
@@ -99,7 +105,17 @@
 	 */
 	public SiteSettings withShutdown(ShutdownSettings bounds) {
 		return new SiteSettings(this.names, this.daemons, this.engines, this.services, this.engineOptions, this.policy,
-				this.claims, bounds, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis);
+				this.claims, bounds, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis, this.logLevel);
+	}
+
+	/**
+	 * Returns these settings with another level of logs.
+	 * @param level the lowest level that the daemons log
+	 * @return the settings
+	 */
+	public SiteSettings withLogLevel(String level) {
+		return new SiteSettings(this.names, this.daemons, this.engines, this.services, this.engineOptions, this.policy,
+				this.claims, this.shutdown, this.storeTimeoutMillis, this.exchangeMillis, this.pollMillis, level);
 	}
 
 	private static EngineOptions engine() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerExchange.java
@@ -60,6 +60,8 @@
 
 	private volatile PeerIdentity identity;
 
+	private volatile int boundPort;
+
 	private volatile boolean leaving;
 
 	private @Nullable volatile MemberTable table;
@@ -122,6 +124,7 @@
 		PeerHandler handler = new PeerHandler(() -> this.identity, secret, this, sync, this.demand, this.claims,
 				this.metrics);
 		PeerServer server = this.closer.register(new PeerServer(peers.address(), peers.port(), handler));
+		this.boundPort = server.port();
 		this.identity = boundIdentity(server.port());
 		PeerCaller peerCaller = this.closer.register(new PeerCaller(() -> this.identity, members, this, secret, sync,
 				this.demand, this.metrics, peers.timeoutMillis()));
@@ -152,15 +155,16 @@
 	 * @return the TCP port
 	 */
 	public int port() {
-		PeerEndpoint endpoint = this.identity.endpoint();
-		return (endpoint != null) ? endpoint.port() : this.settings.peers().port();
+		return this.boundPort;
 	}
 
 	@Override
 	public Member self() {
 		PeerIdentity own = this.identity;
 		MemberState state = this.leaving ? MemberState.LEAVING : MemberState.ALIVE;
-		return new Member(own.host(), own.incarnation(), own.failureDomain(), this.settings.peers().address(), port(),
+		PeerEndpoint endpoint = (own.endpoint() != null) ? own.endpoint()
+				: new PeerEndpoint(this.settings.peers().address(), port());
+		return new Member(own.host(), own.incarnation(), own.failureDomain(), endpoint.address(), endpoint.port(),
 				state, this.catalogue.summary().revision());
 	}
 
@@ -215,10 +219,12 @@
 	}
 
 	private PeerIdentity boundIdentity(int port) {
-		String address = this.settings.peers().address();
+		PeerSettings peers = this.settings.peers();
+		String address = (peers.advertisedAddress() != null) ? peers.advertisedAddress() : peers.address();
+		int advertisedPort = (peers.advertisedPort() != null) ? peers.advertisedPort() : port;
 		boolean wildcard = address.equals("0.0.0.0") || address.equals("::");
 		return new PeerIdentity(this.identity.host(), this.identity.incarnation(), this.identity.failureDomain(),
-				wildcard ? null : new PeerEndpoint(address, port));
+				wildcard ? null : new PeerEndpoint(address, advertisedPort));
 	}
 
 	private void takeSeeds(MemberTable members) {
