Bound the time in which a request body arrives

A caller that announced a body and did not send it held its request for ever: with an unknown key or an announced length over the bound, the answer's end waited for the rest of the body (two of three cases of the new test timed out after 20 s), and the count of open requests, which a graceful shutdown waits for, stayed at one. The parse time-out of the server was ruled out: it covers the head only.

The request side is now ended at the deadline from the settings, then the answer is ended and the connection closed. The timer of an attempt is armed once for each allowed pause instead of once for each read.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayFixture.java
@@ -46,7 +46,7 @@
 	private static final String SETTINGS = """
 			host: test
 			failureDomain: domain
-			callers: {address: 127.0.0.1, port: 0, maximumBodyBytes: 4096}
+			callers: {address: 127.0.0.1, port: 0, maximumBodyBytes: 4096, requestReadSeconds: 2}
 			operators: {address: 127.0.0.1, port: 0}
 			peers: {address: 127.0.0.1, port: 0}
 			platform:
@@ -57,7 +57,7 @@
 
 	private static final String KEY = "secret";
 
-	private static final int SOCKET_TIMEOUT_MILLIS = 60_000;
+	private static final int SOCKET_TIMEOUT_MILLIS = 20_000;
 
 	private final Closer closer = new Closer();
 
@@ -86,10 +86,15 @@
 		return new GatewayFixture(upstreams, List.of());
 	}
 
-	Socket send(String method, String path, String body, String... headers) throws IOException {
+	Socket open() throws IOException {
 		Socket socket = this.closer
 			.register(new Socket(this.server.address().getAddress(), this.server.address().getPort()));
 		socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+		return socket;
+	}
+
+	Socket send(String method, String path, String body, String... headers) throws IOException {
+		Socket socket = open();
 		String head = method + " " + path + " HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer " + this.key
 				+ "\r\nContent-Length: " + body.length() + "\r\n"
 				+ String.join("", List.of(headers).stream().map((line) -> line + "\r\n").toList()) + "\r\n";
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
@@ -13,9 +13,12 @@
 import org.cyclamenstall.junit.ScriptedUpstream;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.RetryReason;
+import org.cyclamenstall.standin.site.ConditionWaiter;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -266,6 +269,20 @@
 	@Nested
 	class WhenTheRequestIsWrong {
 
+		@ParameterizedTest
+		@CsvSource({ "secret,10,request-read-timeout", "wrong,10,unknown-api-key", "secret,100000,body-too-large" })
+		void anUnsentBodyHoldsNothing(String key, int length, String kind) throws IOException {
+			try (GatewayFixture gateway = GatewayFixture.inFrontOf()) {
+				Socket slow = gateway.open();
+				String head = "POST /ledger/a HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer " + key
+						+ "\r\nContent-Length: " + length + "\r\n\r\nab";
+				slow.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+				String answer = new String(slow.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(answer, containsString(kind));
+				ConditionWaiter.await(() -> gateway.server.openRequests() == 0, () -> "a request stayed open");
+			}
+		}
+
 		@Test
 		void anUnknownKeyIsRefusedBeforeItsBodyIsRead() throws IOException {
 			try (GatewayFixture gateway = GatewayFixture.inFrontOf()) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -1,9 +1,11 @@
 package org.cyclamenstall.internal.gateway;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.function.BooleanSupplier;
 
 import io.undertow.io.Receiver;
+import io.undertow.server.Connectors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -14,6 +16,8 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.ErrorTable;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.settings.CallerSettings;
+import org.xnio.IoUtils;
 
 /**
  * Receives requests of callers: authenticates, reads the bounded body, resolves the entry
@@ -33,19 +37,26 @@
 
 	private final int maximumBodyBytes;
 
+	private final Duration requestReadTime;
+
 	CallerHandler(RequestResolver resolver, RequestIdentifiers identifiers, GatewayServices services,
-			BooleanSupplier closesConnections, int maximumBodyBytes) {
+			BooleanSupplier closesConnections, CallerSettings settings) {
 		this.resolver = resolver;
 		this.identifiers = identifiers;
 		this.services = services;
 		this.closesConnections = closesConnections;
-		this.maximumBodyBytes = maximumBodyBytes;
+		this.maximumBodyBytes = settings.maximumBodyBytes();
+		this.requestReadTime = Duration.ofSeconds(settings.requestReadSeconds());
 	}
 
 	@Override
 	public void handleRequest(HttpServerExchange exchange) {
+		String requestId = this.identifiers.next();
+		BodyDeadline deadline = BodyDeadline.start(exchange, this.requestReadTime,
+				() -> bodyTimedOut(exchange, requestId));
 		this.services.metrics().opened();
 		exchange.addExchangeCompleteListener((completed, next) -> {
+			deadline.met();
 			this.services.metrics().closed();
 			next.proceed();
 		});
@@ -53,13 +64,18 @@
 			exchange.setPersistent(false);
 			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
 		}
-		String requestId = this.identifiers.next();
 		try {
 			CatalogueEntry account = this.resolver.authenticate(exchange);
 			checkLength(exchange);
-			exchange.getRequestReceiver()
-				.receiveFullBytes((received, body) -> bodyArrived(received, account, requestId, body),
-						(failed, ex) -> bodyFailed(failed, requestId, ex));
+			exchange.getRequestReceiver().receiveFullBytes((received, body) -> {
+				if (deadline.met()) {
+					bodyArrived(received, account, requestId, body);
+				}
+			}, (failed, ex) -> {
+				if (deadline.met()) {
+					bodyFailed(failed, requestId, ex);
+				}
+			});
 		}
 		catch (RouterException ex) {
 			refuse(exchange, requestId, ex);
@@ -99,6 +115,28 @@
 		}
 	}
 
+	/**
+	 * Ends a request whose body did not arrive. An answer that was given before still
+	 * waits for the rest of the body, so the request side is ended first.
+	 * @param exchange the exchange
+	 * @param requestId the request identifier
+	 */
+	private void bodyTimedOut(HttpServerExchange exchange, String requestId) {
+		if (exchange.isRequestComplete()) {
+			return;
+		}
+		exchange.setPersistent(false);
+		Connectors.terminateRequest(exchange);
+		if (exchange.isResponseStarted()) {
+			exchange.endExchange();
+			IoUtils.safeClose(exchange.getConnection());
+		}
+		else {
+			refuse(exchange, requestId, new RouterException(ErrorKind.REQUEST_READ_TIMEOUT,
+					"the body did not arrive within " + this.requestReadTime.toSeconds() + " s"));
+		}
+	}
+
 	private void checkLength(HttpServerExchange exchange) {
 		checkBound(exchange.getRequestContentLength());
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -84,7 +84,7 @@
 				new AnswerWriter(settings.host()), this.metrics, settings.policy(), clock, this.blockingWork);
 		this.handler = new CallerHandler(new RequestResolver(catalogue, clock),
 				new RequestIdentifiers(settings.host(), incarnation), services, () -> this.closesConnections,
-				settings.callers().maximumBodyBytes());
+				settings.callers());
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -60,6 +60,10 @@
 
 	private @Nullable AnswerReader reader;
 
+	private Duration allowedPause = Duration.ZERO;
+
+	private long lastProgressNanos;
+
 	private boolean sending;
 
 	private boolean ended;
@@ -293,10 +297,31 @@
 	}
 
 	private void startTimer(Duration delay) {
-		stopTimer();
-		this.timer = this.thread.executeAfter(
-				() -> fail(AttemptFailure.TIMED_OUT, "the upstream sent nothing for " + delay.toMillis() + " ms"),
-				delay.toMillis(), TimeUnit.MILLISECONDS);
+		this.allowedPause = delay;
+		this.lastProgressNanos = System.nanoTime();
+		if (this.timer == null) {
+			schedule(delay.toNanos());
+		}
+	}
+
+	/**
+	 * Runs the timer once for each allowed pause instead of once for each read.
+	 */
+	private void checkPause() {
+		this.timer = null;
+		if (this.ended) {
+			return;
+		}
+		long restNanos = this.allowedPause.toNanos() - (System.nanoTime() - this.lastProgressNanos);
+		if (restNanos > 0) {
+			schedule(restNanos);
+			return;
+		}
+		fail(AttemptFailure.TIMED_OUT, "the upstream sent nothing for " + this.allowedPause.toMillis() + " ms");
+	}
+
+	private void schedule(long nanos) {
+		this.timer = this.thread.executeAfter(this::checkPause, nanos, TimeUnit.NANOSECONDS);
 	}
 
 	private void stopTimer() {
