Hold the first load back while a peer is ahead of the store

A host that started over a store put back to an older state took the older catalogue, became ready and served it until the first exchange with a peer. The watcher now waits at the start, up to 2 s, until a peer was heard, and until a peer that reports a higher revision has sent its records.

Weighed: readiness that waits for peers; a lone host would never be ready. The bound leaves this window: a host that hears no peer for 2 s takes the store's word.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueHost.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueHost.java
@@ -56,10 +56,10 @@
 		return edit(editId).setEntry(entry).setDeadline(deadline).call();
 	}
 
-	CatalogueWatcher watcher() {
+	CatalogueWatcher watcher(MonotonicClock clock) {
 		StoreSettings settings = new StoreSettings("consul", "127.0.0.1", 1, PREFIX, 1_000, 100);
-		return new CatalogueWatcher(this.store, this.replica, this.membership, settings, this.metrics,
-				MonotonicClock.SYSTEM, NO_JITTER);
+		return new CatalogueWatcher(this.store, this.replica, this.membership, settings, this.metrics, clock,
+				NO_JITTER);
 	}
 
 	String owner(String name) {
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueWatcherTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueWatcherTests.java
@@ -1,6 +1,9 @@
 package org.cyclamenstall.test.catalogue;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
@@ -8,8 +11,10 @@
 import org.cyclamenstall.internal.catalogue.CatalogueHead;
 import org.cyclamenstall.internal.catalogue.CatalogueWatcher;
 import org.cyclamenstall.junit.InMemoryConfigurationStore;
+import org.cyclamenstall.junit.ManualClock;
 import org.cyclamenstall.junit.StoreFault;
 import org.cyclamenstall.junit.StoreOperation;
+import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.peers.MemberState;
 import org.cyclamenstall.standin.site.ConditionWaiter;
 import org.cyclamenstall.store.StorePriority;
@@ -33,7 +38,7 @@
 
 	private final CatalogueHost host = new CatalogueHost(this.store);
 
-	private final CatalogueWatcher watcher = this.host.watcher();
+	private final CatalogueWatcher watcher = this.host.watcher(MonotonicClock.SYSTEM);
 
 	@AfterEach
 	void close() {
@@ -165,6 +170,39 @@
 
 	}
 
+	@Nested
+	class WhenAHostStartsOverAStorePutBack {
+
+		@Test
+		void itWaitsForThePeerThatIsAhead() {
+			edit("orders", "ion");
+			List<StoreRecord> older = CatalogueWatcherTests.this.store.snapshot();
+			edit("orders", "maria");
+			CatalogueWatcherTests.this.store.restore(older);
+			CatalogueHost late = new CatalogueHost(CatalogueWatcherTests.this.store);
+			late.membership.put("host-2", MemberState.ALIVE, 2);
+			List<String> owners = Collections.synchronizedList(new ArrayList<>());
+			late.replica.addListener((catalogue) -> owners.add(catalogue.entry("orders").orElseThrow().owner()));
+			try (CatalogueWatcher patient = late.watcher(new ManualClock())) {
+				patient.start();
+				assertThat(ConditionWaiter.holdsWithin(Duration.ofMillis(500), late.replica::isLoaded), is(false));
+				late.replica.offer(CatalogueWatcherTests.this.editor.replica.recordsAfter(0), "peer");
+				await("the head is back",
+						() -> CatalogueWatcherTests.this.editor.stored.readHead().value().revision() == 2);
+			}
+			assertThat(owners, is(List.of("maria")));
+		}
+
+		@Test
+		void itTakesTheStoreWhenNoPeerIsHeard() {
+			edit("orders", "ion");
+			CatalogueWatcherTests.this.host.membership.put("host-2", MemberState.SUSPECT, 0);
+			CatalogueWatcherTests.this.watcher.start();
+			awaitOwner("orders", "ion");
+		}
+
+	}
+
 	@Nested
 	class WhenTheDeploymentIsLarge {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueWatcher.java
@@ -15,6 +15,8 @@
 import org.cyclamenstall.errors.RouterException;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.Service;
+import org.cyclamenstall.peers.Member;
+import org.cyclamenstall.peers.MemberState;
 import org.cyclamenstall.peers.Membership;
 import org.cyclamenstall.settings.StoreSettings;
 import org.cyclamenstall.store.ConfigurationStore;
@@ -44,6 +46,10 @@
 
 	private static final long MAXIMUM_RETRY_MILLIS = 1_000;
 
+	private static final long PEERS_MILLIS = 2_000;
+
+	private static final long PEER_POLL_MILLIS = 20;
+
 	private static final long SELECTION_CHECK_MILLIS = 1_000;
 
 	private final Thread thread = new Thread(this::run, "catalogue-watcher");
@@ -74,6 +80,8 @@
 
 	private long nextRepairAt;
 
+	private long peersAwaitedUntil;
+
 	private long repairMillis = REPAIR_PAUSE_MILLIS;
 
 	private int lastMissing;
@@ -111,6 +119,7 @@
 		this.nextListingAt = this.clock.nanoTime();
 		this.nextHeadAt = this.clock.nanoTime();
 		this.nextRepairAt = this.clock.nanoTime();
+		this.peersAwaitedUntil = this.clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PEERS_MILLIS);
 		this.thread.start();
 	}
 
@@ -189,7 +198,9 @@
 	}
 
 	private void readAll() {
+		awaitPeers(Long.MAX_VALUE);
 		CatalogueListing listing = counted("list", this.stored::readAll);
+		awaitPeers(listing.head().value().revision());
 		this.replica.offer(listing.records(), "store");
 		int missing = this.repair.missing(listing).size();
 		if (this.repair.run(listing)) {
@@ -206,6 +217,31 @@
 		this.lastMissing = missing;
 	}
 
+	/**
+	 * Waits at the start until a peer that is ahead of a revision has sent what it holds,
+	 * so that a store that was put back is not taken for the truth. The wait is bounded,
+	 * and there is none without peers.
+	 * @param revision the revision of the store
+	 */
+	private void awaitPeers(long revision) {
+		while (!this.closed && !this.replica.isLoaded() && !isDue(this.peersAwaitedUntil) && lacksPeers(revision)) {
+			sleep(PEER_POLL_MILLIS);
+		}
+	}
+
+	private boolean lacksPeers(long revision) {
+		String self = this.membership.self().host();
+		List<Member> others = this.membership.members()
+			.stream()
+			.filter((member) -> !member.host().equals(self))
+			.toList();
+		List<Member> heard = others.stream().filter((member) -> member.state() == MemberState.ALIVE).toList();
+		if (heard.isEmpty()) {
+			return !others.isEmpty();
+		}
+		return heard.stream().anyMatch((member) -> member.catalogueRevision() > revision);
+	}
+
 	private <T> T counted(String form, java.util.function.Supplier<T> read) {
 		try {
 			T result = read.get();
@@ -235,7 +271,7 @@
 		return millis / 2 + this.random.nextLong(millis);
 	}
 
-	private void sleep(long millis) {
+	private static void sleep(long millis) {
 		try {
 			TimeUnit.MILLISECONDS.sleep(millis);
 		}
