--- /dev/null
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/CatalogueBench.java
@@ -0,0 +1,250 @@
+package org.cyclamenstall.standin.bench;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.cyclamenstall.catalogue.CatalogueRecord;
+import org.cyclamenstall.internal.catalogue.CatalogueEditAnswer;
+import org.cyclamenstall.internal.catalogue.CatalogueEditCommand;
+import org.cyclamenstall.internal.catalogue.CatalogueEditResult;
+import org.cyclamenstall.internal.catalogue.CatalogueWatcher;
+import org.cyclamenstall.internal.catalogue.LocalCatalogue;
+import org.cyclamenstall.internal.catalogue.StoreRepair;
+import org.cyclamenstall.internal.catalogue.StoredCatalogue;
+import org.cyclamenstall.internal.http.BlockingHttpClient;
+import org.cyclamenstall.internal.http.HttpCall;
+import org.cyclamenstall.internal.store.ConsulConfigurationStore;
+import org.cyclamenstall.kernel.Closer;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.peers.Member;
+import org.cyclamenstall.peers.MemberState;
+import org.cyclamenstall.peers.Membership;
+import org.cyclamenstall.settings.StoreSettings;
+import org.cyclamenstall.standin.platform.StoreStandin;
+
+/**
+ * Measures what the catalogue costs a daemon: applying a change and memory by the number
+ * of accounts, then store calls, bytes and the time until a change is in force by the
+ * number of daemons that wait on the store.
+ */
+public final class CatalogueBench {
+
+	private static final int[] ACCOUNTS = { 10, 550, 2_200, 8_800 };
+
+	private static final int[] WATCHERS = { 1, 5, 12, 24 };
+
+	private static final int DESIGN_ACCOUNTS = 2_200;
+
+	private static final int APPLIED_CHANGES = 2_000;
+
+	private static final int EDITS = 100;
+
+	private static final int MEMORY_COPIES = 8;
+
+	private static final int CALLS_PER_SECOND = 10_000;
+
+	private static final double STORE_RATE = 1_000_000;
+
+	private static final long SEED = 1;
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+	private static final String PREFIX = "bench";
+
+	private CatalogueBench() {
+	}
+
+	/**
+	 * Runs the measurement and prints it.
+	 * @param arguments none
+	 * @throws InterruptedException if it is interrupted
+	 */
+	public static void main(String[] arguments) throws InterruptedException {
+		Configurator.setRootLevel(Level.ERROR);
+		for (int accounts : ACCOUNTS) {
+			measureApplying(accounts);
+		}
+		for (int accounts : ACCOUNTS) {
+			measureApplying(accounts);
+			measureMemory(accounts);
+		}
+		for (int watchers : WATCHERS) {
+			measureEdits(watchers);
+		}
+		System.exit(0);
+	}
+
+	private static void measureApplying(int accounts) {
+		LocalCatalogue replica = new LocalCatalogue(new PrometheusRegistry());
+		List<CatalogueRecord> records = SampleCatalogue.records(accounts);
+		replica.offer(records, "bench");
+		Histogram micros = new Histogram(3);
+		long revision = records.size();
+		for (int change = 0; change < APPLIED_CHANGES; change++) {
+			revision++;
+			CatalogueRecord record = SampleCatalogue.record(SampleCatalogue.account(change % accounts, change),
+					revision);
+			long startedAt = System.nanoTime();
+			replica.offer(List.of(record), "bench");
+			micros.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startedAt));
+		}
+		System.out.printf("apply one change, %d accounts and 50 entries: p50 %d us, p99 %d us%n", accounts,
+				micros.getValueAtPercentile(50), micros.getValueAtPercentile(99));
+	}
+
+	private static void measureMemory(int accounts) {
+		List<LocalCatalogue> replicas = new ArrayList<>();
+		long before = usedBytes();
+		for (int copy = 0; copy < MEMORY_COPIES; copy++) {
+			LocalCatalogue replica = new LocalCatalogue(new PrometheusRegistry());
+			replica.offer(SampleCatalogue.records(accounts), "bench");
+			replicas.add(replica);
+		}
+		long used = usedBytes() - before;
+		System.out.printf("memory of a replica, %d accounts and 50 entries: %d KB%n", accounts,
+				used / replicas.size() / 1024);
+	}
+
+	private static void measureEdits(int watchers) throws InterruptedException {
+		try (Closer closer = new Closer()) {
+			StoreStandin standin = closer
+				.register(new StoreStandin("store", "127.0.0.1", 0, 0, STORE_RATE, STORE_RATE));
+			Host editor = new Host(standin, closer);
+			editor.replica.offer(SampleCatalogue.records(DESIGN_ACCOUNTS), "bench");
+			StoreRepair repair = new StoreRepair(editor.stored, editor.replica, editor.random);
+			while (!repair.run(editor.stored.readAll())) {
+				TimeUnit.MILLISECONDS.sleep(100);
+			}
+			List<Host> hosts = new ArrayList<>();
+			for (int number = 0; number < watchers; number++) {
+				Host host = new Host(standin, closer);
+				host.watcher(closer).start();
+				hosts.add(host);
+			}
+			for (Host host : hosts) {
+				host.awaitRevision(editor.replica.summary().revision());
+			}
+			measureEdits(editor, hosts, standin);
+		}
+	}
+
+	private static void measureEdits(Host editor, List<Host> hosts, StoreStandin standin) throws InterruptedException {
+		Map<String, Long> before = standin.counts().all();
+		Histogram accepted = new Histogram(3);
+		Histogram inForce = new Histogram(3);
+		for (int edit = 0; edit < EDITS; edit++) {
+			long startedAt = System.nanoTime();
+			CatalogueEditAnswer answer = editor.edit(edit);
+			accepted.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startedAt));
+			for (Host host : hosts) {
+				host.awaitRevision(answer.record().revision());
+			}
+			inForce.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startedAt));
+		}
+		System.out.printf(
+				"%d waiting daemons, %d edits at %d accounts: accepted p50 %.1f ms, p99 %.1f ms; "
+						+ "in force everywhere p50 %.1f ms, p99 %.1f ms%n",
+				hosts.size(), EDITS, DESIGN_ACCOUNTS, accepted.getValueAtPercentile(50) / 1e3,
+				accepted.getValueAtPercentile(99) / 1e3, inForce.getValueAtPercentile(50) / 1e3,
+				inForce.getValueAtPercentile(99) / 1e3);
+		standin.counts()
+			.all()
+			.forEach((kind, count) -> System.out.printf("  store calls an edit, %s: %.2f%n", kind,
+					(count - before.getOrDefault(kind, 0L)) / (double) EDITS));
+		printSizes(standin);
+	}
+
+	private static void printSizes(StoreStandin standin) {
+		try (BlockingHttpClient client = new BlockingHttpClient("bench",
+				new InetSocketAddress(standin.address(), standin.port()))) {
+			for (String path : List.of("head", "entries/account-1", "?recurse=true")) {
+				byte[] body = client.call(HttpCall.get("/v1/kv/" + PREFIX + "/catalogue/" + path, TIMEOUT)).body();
+				System.out.printf("  bytes of an answer to %s: %d%n", path, body.length);
+			}
+		}
+	}
+
+	private static long usedBytes() {
+		for (int round = 0; round < 3; round++) {
+			System.gc();
+		}
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+	}
+
+	/** Holds the parts of one daemon that deal with the catalogue. */
+	private static final class Host implements Membership {
+
+		private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED);
+
+		private final PrometheusRegistry metrics = new PrometheusRegistry();
+
+		private final LocalCatalogue replica = new LocalCatalogue(this.metrics);
+
+		private final StoreSettings settings;
+
+		private final ConsulConfigurationStore store;
+
+		private final StoredCatalogue stored;
+
+		Host(StoreStandin standin, Closer closer) {
+			this.settings = new StoreSettings("consul", standin.address(), standin.port(), PREFIX,
+					(int) TIMEOUT.toMillis(), CALLS_PER_SECOND);
+			this.store = closer.register(
+					new ConsulConfigurationStore(this.settings, this.metrics, MonotonicClock.SYSTEM, this.random));
+			this.stored = new StoredCatalogue(this.store, PREFIX);
+		}
+
+		CatalogueWatcher watcher(Closer closer) {
+			return closer.register(new CatalogueWatcher(this.store, this.replica, this, this.settings, this.metrics,
+					MonotonicClock.SYSTEM, this.random));
+		}
+
+		CatalogueEditAnswer edit(int number) {
+			CatalogueEditAnswer answer = new CatalogueEditCommand(this.stored, this.replica, this,
+					MonotonicClock.SYSTEM, this.random)
+				.setEntry(SampleCatalogue.account(number, number))
+				.setEditId("edit-" + number)
+				.setOperator("bench")
+				.call();
+			if (answer.result() != CatalogueEditResult.ACCEPTED) {
+				throw new IllegalStateException("The edit ended as " + answer);
+			}
+			return answer;
+		}
+
+		void awaitRevision(long revision) throws InterruptedException {
+			CountDownLatch reached = new CountDownLatch(1);
+			this.replica.addListener((catalogue) -> {
+				if (catalogue.revision() >= revision) {
+					reached.countDown();
+				}
+			});
+			if (this.replica.summary().revision() < revision && !reached.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS)) {
+				throw new IllegalStateException("Revision " + revision + " is not in force");
+			}
+		}
+
+		@Override
+		public Member self() {
+			return new Member("host", 1, "domain", "127.0.0.1", 1, MemberState.ALIVE, 0);
+		}
+
+		@Override
+		public List<Member> members() {
+			return List.of(self());
+		}
+
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/LocalCatalogue.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/LocalCatalogue.java
@@ -120,8 +120,9 @@
 						record.revision(), source, (current != null) ? current.revision() : 0);
 			}
 		}
-		this.records.labelValues(source, "newer").inc(newer.size());
-		this.records.labelValues(source, "refused-older").inc(older);
+		String kind = source.split(" ", 2)[0];
+		this.records.labelValues(kind, "newer").inc(newer.size());
+		this.records.labelValues(kind, "refused-older").inc(older);
 		return newer;
 	}
 
