--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/PeerBench.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/PeerBench.java
@@ -42,6 +42,12 @@
 
 	private static final int CHANGES = 10;
 
+	private static final int WARM_UP_DAEMONS = 10;
+
+	private static final int WARM_UP_EXCHANGE_MILLIS = 50;
+
+	private static final int WARM_UP_SECONDS = 10;
+
 	private static final long CHANGE_PAUSE_MILLIS = 300;
 
 	private static final int SEEDS = 20;
@@ -70,6 +76,7 @@
 	}
 
 	private void measureSockets() throws InterruptedException {
+		warmUp();
 		this.output.println("selection daemons exchanges/s bytes/s/daemon bytes/exchange cpu-%-of-core/daemon"
 				+ " heap-KB/daemon threads/daemon in-force-ms-median in-force-ms-worst");
 		for (int daemons : DAEMONS) {
@@ -80,11 +87,19 @@
 		}
 	}
 
+	private void warmUp() throws InterruptedException {
+		try (Closer closer = new Closer()) {
+			List<PeerBenchDaemon> daemons = start("all", WARM_UP_DAEMONS, WARM_UP_EXCHANGE_MILLIS, closer);
+			TimeUnit.SECONDS.sleep(WARM_UP_SECONDS);
+			measureChanges(daemons);
+		}
+	}
+
 	private void measure(String selection, int count) throws InterruptedException {
 		long heapBefore = usedHeapBytes();
 		int threadsBefore = ManagementFactory.getThreadMXBean().getThreadCount();
 		try (Closer closer = new Closer()) {
-			List<PeerBenchDaemon> daemons = start(selection, count, closer);
+			List<PeerBenchDaemon> daemons = start(selection, count, EXCHANGE_MILLIS, closer);
 			TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
 			double bytes = -sumBytes(daemons);
 			double exchanges = -sumExchanges(daemons);
@@ -105,13 +120,13 @@
 		}
 	}
 
-	private List<PeerBenchDaemon> start(String selection, int count, Closer closer) {
+	private List<PeerBenchDaemon> start(String selection, int count, int exchangeMillis, Closer closer) {
 		List<PeerBenchDaemon> daemons = new ArrayList<>();
 		List<PeerAddress> seeds = new ArrayList<>();
 		for (int number = 0; number < count; number++) {
 			PeerSelection choice = selection.equals("all") ? new AllPeers()
 					: new RandomFanout(FANOUT, RandomSource.XO_RO_SHI_RO_128_PP.create(number));
-			PeerBenchDaemon daemon = new PeerBenchDaemon(number, List.copyOf(seeds), choice, EXCHANGE_MILLIS,
+			PeerBenchDaemon daemon = new PeerBenchDaemon(number, List.copyOf(seeds), choice, exchangeMillis,
 					REPORT_ENTRIES);
 			daemons.add(closer.register(daemon).start());
 			daemon.catalogue().offer(List.of(PeerBenchDaemon.record("chat", 1)), "store");
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/ClaimExplorationTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/ClaimExplorationTests.java
@@ -46,7 +46,7 @@
 		}
 
 		@Test
-		void theRequestRunsOnceWithAPressInsideAPress() {
+		void theRequestRunsOnceWithAPressOrAPauseInsideAPress() {
 			long runs = new ChoiceExplorer().exploreAll((choices) -> {
 				Scenario scenario = new Scenario(choices, 1, 1);
 				scenario.run(2, false);
@@ -85,15 +85,15 @@
 
 		private int faults;
 
-		private int nestedPresses;
+		private int interruptions;
 
-		Scenario(ChoiceExplorer choices, int faults, int nestedPresses) {
+		Scenario(ChoiceExplorer choices, int faults, int interruptions) {
 			this.choices = choices;
 			this.faults = faults;
-			this.nestedPresses = nestedPresses;
+			this.interruptions = interruptions;
 			this.site.store().setPlan(this::fault);
-			this.site.store().setBeforeEffect((call) -> pressInside());
-			this.site.store().setAfterEffect((call) -> pressInside());
+			this.site.store().setBeforeEffect((call) -> interrupt());
+			this.site.store().setAfterEffect((call) -> interrupt());
 			this.site.setPeerSilence(this::silent);
 		}
 
@@ -139,7 +139,7 @@
 
 		private void heal() {
 			this.faults = 0;
-			this.nestedPresses = 0;
+			this.interruptions = 0;
 			this.site.store().applyLateWrites();
 		}
 
@@ -203,10 +203,18 @@
 			return silent;
 		}
 
-		private void pressInside() {
-			if (this.nestedPresses > 0 && this.choices.choose(2) == 1) {
-				this.nestedPresses--;
-				press(this.choices.choose(List.of("gara-1", "gara-2")));
+		private void interrupt() {
+			if (this.interruptions == 0) {
+				return;
+			}
+			int choice = this.choices.choose(4);
+			this.interruptions -= (choice > 0) ? 1 : 0;
+			switch (choice) {
+				case 1 -> press("gara-1");
+				case 2 -> press("gara-2");
+				case 3 -> this.site.passMaximumAge();
+				default -> {
+				}
 			}
 		}
 
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/StoreClaimRegistryTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/claims/StoreClaimRegistryTests.java
@@ -78,6 +78,16 @@
 			assertThat(second.beginSending(), is(true));
 		}
 
+		@Test
+		void aClaimThatGrowsTooOldAtTheStoreIsRefused() {
+			StoreClaimRegistryTests.this.site.store().setFault(StoreOperation.CREATE, StoreFault.REQUEST_LOST);
+			StoreClaimRegistryTests.this.site.store()
+				.setAfterEffect((call) -> StoreClaimRegistryTests.this.site.passMaximumAge());
+			assertThat(refusal(StoreClaimRegistryTests.this.site.press("gara-1")),
+					is(ErrorKind.CLAIM_STORE_UNAVAILABLE));
+			assertThat(StoreClaimRegistryTests.this.site.store().calls(), hasSize(2));
+		}
+
 		@Test
 		void aSilentClaimantIsNeverReplaced() {
 			granted("gara-1");
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/AcquireClaimCommand.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/claims/AcquireClaimCommand.java
@@ -56,7 +56,7 @@
 	 */
 	ClaimDecision call() {
 		long seenVersion = 0;
-		for (int write = 0; write < MAXIMUM_WRITES; write++) {
+		for (int write = 0; write < MAXIMUM_WRITES && !claim().age().isExceeded(); write++) {
 			WriteResult result = write(seenVersion);
 			if (result == WriteResult.APPLIED) {
 				return granted();
@@ -71,7 +71,7 @@
 			}
 			seenVersion = seen.map(StoredClaim::version).orElse(0L);
 		}
-		return unavailable("The store did not settle the claim");
+		return unavailable("The store did not settle the claim in time");
 	}
 
 	private LocalClaim claim() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/ExchangeRounds.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/ExchangeRounds.java
@@ -140,7 +140,13 @@
 
 	private void begin(String host) {
 		if (this.busy.add(host)) {
-			this.workers.execute(() -> exchange(host));
+			try {
+				this.workers.execute(() -> exchange(host));
+			}
+			catch (RejectedExecutionException ex) {
+				this.busy.remove(host);
+				logger.debug("No exchange with peer {} after the end", host);
+			}
 		}
 	}
 
