Delete old claims in the daemon; repair the merge of load tool and site

The service that deletes old claims was not started by the daemon. Claiming ends when the claim grows too old at a slow store.

28 tests of claims pass (-Dtest='*Claim*Tests').

--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/EmbeddedTarget.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/EmbeddedTarget.java
@@ -108,7 +108,7 @@
 				List.of(new UpstreamGroup(deployment.engines().service(), deployment.engines().number())),
 				List.of(new UpstreamGroup(deployment.services().service(), deployment.services().number())),
 				deployment.engines().options(), policy, small.claims(), small.shutdown(), small.storeTimeoutMillis(),
-				EXCHANGE_MILLIS, POLL_MILLIS);
+				EXCHANGE_MILLIS, POLL_MILLIS, small.logLevel());
 	}
 
 	private static double orDefault(@Nullable Double value, double fallback) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
@@ -13,6 +13,7 @@
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.internal.catalogue.CatalogueWatcher;
 import org.cyclamenstall.internal.catalogue.LocalCatalogue;
+import org.cyclamenstall.internal.claims.ClaimRetention;
 import org.cyclamenstall.internal.claims.StoreClaimRegistry;
 import org.cyclamenstall.internal.gateway.CallerServer;
 import org.cyclamenstall.internal.hosts.ConsulHostList;
@@ -142,6 +143,8 @@
 		this.services.register(ServiceNames.CLAIMS,
 				new StoreClaimRegistry(store(), this.settings.platform().store(), this.settings.claims(), peers,
 						this.settings.host(), this.incarnation, this.clock, InstantSource.system(), this.metrics));
+		this.services.register(ServiceNames.CLAIM_RETENTION, new ClaimRetention(store(),
+				this.settings.platform().store(), this.settings.claims(), peers, InstantSource.system(), this.metrics));
 	}
 
 	private void registerPorts() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
@@ -26,6 +26,9 @@
 	/** The claims of named requests. */
 	public static final String CLAIMS = "claims";
 
+	/** The deletion of old claims. */
+	public static final String CLAIM_RETENTION = "claim-retention";
+
 	/** The operators' port. */
 	public static final String OPERATORS = "operators";
 
