--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/TestSite.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/TestSite.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.junit;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -49,6 +50,8 @@
 
 	private static final int STATUS_OK = 200;
 
+	private static final int REQUESTS_FOR_BUDGET = 30;
+
 	private static final String API_KEY = "test-key";
 
 	private static final ClaimSettings CLAIMS = new ClaimSettings(CLAIM_AGE_MILLIS, 3_600, null);
@@ -198,6 +201,16 @@
 						+ caller(index).chat(FIXED_CHAT, "probe", 1, ChatForm.WHOLE));
 	}
 
+	/**
+	 * Sends requests until the retry budget of a daemon allows some retries.
+	 * @param index the index of the daemon
+	 */
+	public void fillRetryBudget(int index) {
+		for (int request = 0; request < REQUESTS_FOR_BUDGET; request++) {
+			caller(index).chat(FIXED_CHAT, "budget", 1, ChatForm.WHOLE);
+		}
+	}
+
 	/**
 	 * Returns the sum of the requests that reached plain services.
 	 * @param path the path
@@ -213,6 +226,52 @@
 			.sum();
 	}
 
+	/**
+	 * Waits until every daemon shows a state for each upstream of a service.
+	 * @param service the name of the service
+	 * @param state the state
+	 */
+	public void awaitUpstreamStates(String service, String state) {
+		this.site.daemons()
+			.forEach((daemon) -> ConditionWaiter.await(
+					() -> upstreamStates(daemon, service).stream().allMatch(state::equals),
+					() -> daemon.host() + " shows " + upstreamStates(daemon, service)));
+	}
+
+	/**
+	 * Waits until every daemon shows a state for one upstream.
+	 * @param service the name of the service
+	 * @param host the name of the upstream's host
+	 * @param state the state
+	 */
+	public void awaitUpstreamState(String service, String host, String state) {
+		String row = service + " " + host + " " + state;
+		this.site.daemons()
+			.forEach((daemon) -> ConditionWaiter.await(() -> upstreamRows(daemon).contains(row),
+					() -> daemon.host() + " shows " + upstreamRows(daemon) + " and not " + row));
+	}
+
+	private static List<String> upstreamRows(DaemonInstance daemon) {
+		List<String> rows = new ArrayList<>();
+		daemon.operators()
+			.get("/v1/upstreams")
+			.json()
+			.path("upstreams")
+			.forEach((row) -> rows.add(
+					row.path("service").asText() + " " + row.path("host").asText() + " " + row.path("state").asText()));
+		return rows;
+	}
+
+	private static List<String> upstreamStates(DaemonInstance daemon, String service) {
+		List<String> states = new ArrayList<>();
+		daemon.operators().get("/v1/upstreams").json().path("upstreams").forEach((row) -> {
+			if (row.path("service").asText().equals(service)) {
+				states.add(row.path("state").asText());
+			}
+		});
+		return states;
+	}
+
 	@Override
 	public void close() {
 		this.site.close();
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/FaultProxy.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/FaultProxy.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -28,13 +27,15 @@
 
 	private final InetSocketAddress server;
 
-	private final ServerSocket listener;
+	private final InetSocketAddress address;
 
 	private final List<FaultRule> rules = new CopyOnWriteArrayList<>();
 
 	private final Set<RelayedConnection> connections = ConcurrentHashMap.newKeySet();
 
-	private volatile boolean refusing;
+	private ServerSocket listener;
+
+	private volatile boolean cut;
 
 	/**
 	 * Creates a proxy on a free port and starts to relay.
@@ -43,13 +44,8 @@
 	 */
 	public FaultProxy(String listenAddress, InetSocketAddress server) {
 		this.server = server;
-		try {
-			this.listener = new ServerSocket(0, BACKLOG, InetAddress.getByName(listenAddress));
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-		daemonThread(this::accept, "fault-proxy-" + this.listener.getLocalPort()).start();
+		this.listener = listen(new InetSocketAddress(listenAddress, 0));
+		this.address = (InetSocketAddress) this.listener.getLocalSocketAddress();
 	}
 
 	/**
@@ -57,7 +53,7 @@
 	 * @return the address
 	 */
 	public InetSocketAddress address() {
-		return (InetSocketAddress) this.listener.getLocalSocketAddress();
+		return this.address;
 	}
 
 	/**
@@ -74,18 +70,29 @@
 	 * Resets every connection, now and until {@link #pass()}.
 	 */
 	public void cut() {
-		this.refusing = true;
+		this.cut = true;
+		resetConnections();
+	}
+
+	/**
+	 * Refuses new connections and resets the open ones, until {@link #pass()}.
+	 */
+	public synchronized void refuse() {
+		stopListening();
 		resetConnections();
 	}
 
 	/**
 	 * Removes every rule, releases held bytes and takes connections again.
 	 */
-	public void pass() {
-		this.refusing = false;
+	public synchronized void pass() {
+		this.cut = false;
 		List<FaultRule> removed = List.copyOf(this.rules);
 		this.rules.removeAll(removed);
 		removed.forEach(FaultRule::release);
+		if (this.listener.isClosed()) {
+			this.listener = listen(this.address);
+		}
 	}
 
 	/**
@@ -104,13 +111,8 @@
 	}
 
 	@Override
-	public void close() {
-		try {
-			this.listener.close();
-		}
-		catch (IOException ex) {
-			logger.debug("Could not close the listener", ex);
-		}
+	public synchronized void close() {
+		stopListening();
 		cut();
 		this.rules.forEach(FaultRule::release);
 	}
@@ -129,10 +131,30 @@
 		return thread;
 	}
 
-	private void accept() {
-		while (!this.listener.isClosed()) {
+	private ServerSocket listen(InetSocketAddress listenAddress) {
+		try {
+			ServerSocket opened = new ServerSocket(listenAddress.getPort(), BACKLOG, listenAddress.getAddress());
+			daemonThread(() -> accept(opened), "fault-proxy-" + opened.getLocalPort()).start();
+			return opened;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void stopListening() {
+		try {
+			this.listener.close();
+		}
+		catch (IOException ex) {
+			logger.debug("Could not close the listener", ex);
+		}
+	}
+
+	private void accept(ServerSocket from) {
+		while (!from.isClosed()) {
 			try {
-				relay(this.listener.accept());
+				relay(from.accept());
 			}
 			catch (IOException ex) {
 				logger.debug("No connection accepted", ex);
@@ -141,7 +163,7 @@
 	}
 
 	private void relay(Socket client) throws IOException {
-		if (this.refusing) {
+		if (this.cut) {
 			client.setSoLinger(true, 0);
 			client.close();
 			return;
@@ -159,7 +181,7 @@
 		RelayedConnection connection = new RelayedConnection(this, client, upstream);
 		this.connections.add(connection);
 		connection.start();
-		if (this.refusing) {
+		if (this.cut) {
 			connection.reset();
 		}
 	}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteSettings.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteSettings.java
@@ -27,7 +27,9 @@
 		EngineOptions engineOptions, PolicySettings policy, ClaimSettings claims, ShutdownSettings shutdown,
 		int storeTimeoutMillis, int exchangeMillis, int pollMillis, String logLevel) {
 
-	/** Holds a small site with short bounds. */
+	/**
+	 * Holds a small site with short bounds, whose engines make as many tokens as asked.
+	 */
 	public static final SiteSettings SMALL = new SiteSettings(new SiteNames("ro-central", "entry"), 2,
 			List.of(new UpstreamGroup("cuptor", 2)), List.of(new UpstreamGroup("ghiseu", 2)), engine(),
 			PolicySettings.DEFAULTS, ClaimSettings.DEFAULTS, new ShutdownSettings(500, 120), 1_000, 200, 200, "info");
@@ -119,7 +121,7 @@
 	}
 
 	private static EngineOptions engine() {
-		return new EngineOptions(8, 64, 5.0, 0.5, 100_000.0, null, 100, null, null, null);
+		return new EngineOptions(8, 64, 5.0, 0.5, 100_000.0, null, 100, 100_000, 0.0, null);
 	}
 
 }
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/faultproxy/FaultProxyTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/faultproxy/FaultProxyTests.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.test.faultproxy;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -92,6 +94,20 @@
 
 	}
 
+	@Nested
+	class WhenItRefuses {
+
+		@Test
+		void noConnectionIsMadeUntilItPassesAgain() {
+			FaultProxyTests.this.proxy.refuse();
+			CallerAnswer refused = FaultProxyTests.this.client.book("/book", "seven", "{}");
+			assertThat(refused.failure().get(), instanceOf(ConnectException.class));
+			FaultProxyTests.this.proxy.pass();
+			assertThat(FaultProxyTests.this.client.book("/book", "eight", "{}").status(), is(200));
+		}
+
+	}
+
 	@Nested
 	class WhenCut {
 
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/integration/GracefulShutdownTests.java
@@ -0,0 +1,146 @@
+package org.cyclamenstall.test.integration;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cyclamenstall.junit.TestSite;
+import org.cyclamenstall.standin.caller.CallerAnswer;
+import org.cyclamenstall.standin.caller.CallerCall;
+import org.cyclamenstall.standin.caller.ChatForm;
+import org.cyclamenstall.standin.engine.EngineOptions;
+import org.cyclamenstall.standin.faultproxy.Direction;
+import org.cyclamenstall.standin.faultproxy.FaultAction;
+import org.cyclamenstall.standin.faultproxy.FaultRule;
+import org.cyclamenstall.standin.http.Availability;
+import org.cyclamenstall.standin.platform.StoreFaults;
+import org.cyclamenstall.standin.site.ConditionWaiter;
+import org.cyclamenstall.standin.site.DaemonInstance;
+import org.cyclamenstall.standin.site.UpstreamGroup;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests that a daemon that is asked to end cuts no request.
+ */
+class GracefulShutdownTests {
+
+	private static final EngineOptions FEW_SLOTS = new EngineOptions(4, 0, 5.0, 0.5, 100_000.0, null, 0, 100_000, 0.0,
+			null);
+
+	private static final int STREAMS = 12;
+
+	private static final int STREAM_TOKENS = 120;
+
+	private static TestSite site;
+
+	@BeforeAll
+	static void launch() {
+		site = TestSite.launch(TestSite.settings(2)
+			.withUpstreams(List.of(new UpstreamGroup("cuptor", 1)), List.of(new UpstreamGroup("ghiseu", 1)))
+			.withEngineOptions(FEW_SLOTS));
+	}
+
+	@AfterAll
+	static void close() {
+		site.close();
+	}
+
+	@AfterEach
+	void restore() {
+		site.restore();
+	}
+
+	private static List<CallerCall> startStreams() {
+		List<CallerCall> streams = new ArrayList<>();
+		for (int index = 0; index < STREAMS; index++) {
+			streams.add(site.caller(0).startChat(TestSite.CHAT, "stream " + index, STREAM_TOKENS, ChatForm.STREAMED));
+		}
+		ConditionWaiter.await(() -> streams.stream().anyMatch((stream) -> stream.tokensSoFar() > 0),
+				() -> "no stream began");
+		return streams;
+	}
+
+	private static void assertWhole(CallerCall call) {
+		CallerAnswer answer = call.answer();
+		assertThat(answer.toString(), answer.looksWhole(), is(true));
+		assertThat(answer.tokens().size(), is(STREAM_TOKENS));
+	}
+
+	private static void awaitNotReady(DaemonInstance daemon) {
+		ConditionWaiter.await(() -> !daemon.operators().isReady(), () -> daemon.host() + " stays ready");
+	}
+
+	@Nested
+	class UnderLoad {
+
+		@Test
+		void runningAndQueuedStreamsEndWholeAndTheExitCodeIsZero() {
+			DaemonInstance daemon = site.daemon(0);
+			List<CallerCall> streams = startStreams();
+			daemon.process().terminate();
+			streams.forEach(GracefulShutdownTests::assertWhole);
+			assertThat(daemon.process().errors(), daemon.process().awaitExit(), is(0));
+		}
+
+		@Test
+		void requestsOfTheSettleTimeAreAnsweredAndLaterOnesGoElsewhere() {
+			DaemonInstance daemon = site.daemon(0);
+			List<CallerCall> streams = startStreams();
+			CallerAnswer keepAlive = site.caller(0).lookUp(TestSite.BOOKINGS + "/1");
+			assertThat(keepAlive.status(), is(200));
+			daemon.process().terminate();
+			awaitNotReady(daemon);
+			CallerAnswer settling = site.caller(0).lookUp(TestSite.BOOKINGS + "/2");
+			assertThat(settling.toString(), settling.status(), is(200));
+			streams.forEach(GracefulShutdownTests::assertWhole);
+			assertThat(daemon.process().errors(), daemon.process().awaitExit(), is(0));
+			assertThat(site.caller(0).lookUp(TestSite.BOOKINGS + "/3").status(), is(0));
+			assertThat(site.caller(1).lookUp(TestSite.BOOKINGS + "/3").status(), is(200));
+		}
+
+		@Test
+		void aBookingInFlightEndsAndItsAnswerIsKept() {
+			DaemonInstance daemon = site.daemon(0);
+			String key = site.newKey();
+			FaultRule held = site.site()
+				.services()
+				.get(0)
+				.proxy()
+				.add(FaultRule.on(Direction.ANSWER, FaultAction.HOLD).matching(key).build());
+			CallerCall booking = site.caller(0).startBooking(TestSite.BOOKINGS, key, "{}");
+			assertThat(held.awaitHit(ConditionWaiter.DEFAULT_LIMIT), is(true));
+			daemon.process().terminate();
+			awaitNotReady(daemon);
+			held.release();
+			CallerAnswer first = booking.answer();
+			assertThat(first.toString(), first.status(), is(200));
+			assertThat(daemon.process().errors(), daemon.process().awaitExit(), is(0));
+			CallerAnswer second = site.caller(1).book(TestSite.BOOKINGS, key, "{}");
+			assertThat(second.toString(), second.body(), is(first.body()));
+			assertThat(site.site().executionsOfKey(key), is(1L));
+		}
+
+	}
+
+	@Nested
+	class WhenTheStoreIsDown {
+
+		@Test
+		void streamsEndWholeAndTheExitCodeIsZero() {
+			DaemonInstance daemon = site.daemon(0);
+			List<CallerCall> streams = startStreams();
+			site.site().store().setFaults(new StoreFaults(Availability.REFUSING, null, null, null, null, null));
+			daemon.process().terminate();
+			streams.forEach(GracefulShutdownTests::assertWhole);
+			assertThat(daemon.process().errors(), daemon.process().awaitExit(), is(0));
+		}
+
+	}
+
+}
