--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteSettings.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteSettings.java
@@ -34,6 +34,28 @@
 			List.of(new UpstreamGroup("cuptor", 2)), List.of(new UpstreamGroup("ghiseu", 2)), engine(),
 			PolicySettings.DEFAULTS, ClaimSettings.DEFAULTS, new ShutdownSettings(500, 120), 1_000, 200, 200, "info");
 
+	/**
+	 * Creates settings whose daemons log from level info.
+	 * @param names the names of region and hosts
+	 * @param daemons the number of daemons
+	 * @param engines the services of engines
+	 * @param services the plain services
+	 * @param engineOptions the size and speed of each engine
+	 * @param policy the policies of each daemon
+	 * @param claims the bounds on claims of each daemon
+	 * @param shutdown the bounds on a graceful shutdown of each daemon
+	 * @param storeTimeoutMillis the longest wait of a daemon for the store, in
+	 * milliseconds
+	 * @param exchangeMillis the pause between two exchanges with a peer, in milliseconds
+	 * @param pollMillis the pause between two reads of the host list, in milliseconds
+	 */
+	public SiteSettings(SiteNames names, int daemons, List<UpstreamGroup> engines, List<UpstreamGroup> services,
+			EngineOptions engineOptions, PolicySettings policy, ClaimSettings claims, ShutdownSettings shutdown,
+			int storeTimeoutMillis, int exchangeMillis, int pollMillis) {
+		this(names, daemons, engines, services, engineOptions, policy, claims, shutdown, storeTimeoutMillis,
+				exchangeMillis, pollMillis, "info");
+	}
+
 	/**
 	 * Returns these settings with other names.
 	 * @param others the names of region and hosts
