--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerExchange.java
@@ -38,6 +38,8 @@
 
 	private static final Logger logger = LogManager.getLogger(PeerExchange.class);
 
+	private static final int REPORTED_ENTRIES = 128;
+
 	private final DaemonSettings settings;
 
 	private final HostList hosts;
@@ -60,6 +62,8 @@
 
 	private volatile PeerIdentity identity;
 
+	private volatile int boundPort;
+
 	private volatile boolean leaving;
 
 	private @Nullable volatile MemberTable table;
@@ -119,12 +123,14 @@
 		CatalogueSync sync = new CatalogueSync(this.catalogue);
 		MemberTable members = new MemberTable(this.identity, peers.exchangeMillis(), this.clock);
 		this.table = members;
-		PeerHandler handler = new PeerHandler(() -> this.identity, secret, this, sync, this.demand, this.claims,
+		DemandBound bound = new DemandBound(REPORTED_ENTRIES);
+		PeerHandler handler = new PeerHandler(() -> this.identity, secret, this, sync, this.demand, bound, this.claims,
 				this.metrics);
 		PeerServer server = this.closer.register(new PeerServer(peers.address(), peers.port(), handler));
+		this.boundPort = server.port();
 		this.identity = boundIdentity(server.port());
 		PeerCaller peerCaller = this.closer.register(new PeerCaller(() -> this.identity, members, this, secret, sync,
-				this.demand, this.metrics, peers.timeoutMillis()));
+				this.demand, bound, this.metrics, peers.timeoutMillis()));
 		this.caller = peerCaller;
 		ExchangeRounds exchangeRounds = this.closer
 			.register(new ExchangeRounds(members, peerCaller, sync, this.selection, peers, this::afterRound));
@@ -152,15 +158,16 @@
 	 * @return the TCP port
 	 */
 	public int port() {
-		PeerEndpoint endpoint = this.identity.endpoint();
-		return (endpoint != null) ? endpoint.port() : this.settings.peers().port();
+		return this.boundPort;
 	}
 
 	@Override
 	public Member self() {
 		PeerIdentity own = this.identity;
 		MemberState state = this.leaving ? MemberState.LEAVING : MemberState.ALIVE;
-		return new Member(own.host(), own.incarnation(), own.failureDomain(), this.settings.peers().address(), port(),
+		PeerEndpoint endpoint = (own.endpoint() != null) ? own.endpoint()
+				: new PeerEndpoint(this.settings.peers().address(), port());
+		return new Member(own.host(), own.incarnation(), own.failureDomain(), endpoint.address(), endpoint.port(),
 				state, this.catalogue.summary().revision());
 	}
 
@@ -215,10 +222,12 @@
 	}
 
 	private PeerIdentity boundIdentity(int port) {
-		String address = this.settings.peers().address();
+		PeerSettings peers = this.settings.peers();
+		String address = (peers.advertisedAddress() != null) ? peers.advertisedAddress() : peers.address();
+		int advertisedPort = (peers.advertisedPort() != null) ? peers.advertisedPort() : port;
 		boolean wildcard = address.equals("0.0.0.0") || address.equals("::");
 		return new PeerIdentity(this.identity.host(), this.identity.incarnation(), this.identity.failureDomain(),
-				wildcard ? null : new PeerEndpoint(address, port));
+				wildcard ? null : new PeerEndpoint(address, advertisedPort));
 	}
 
 	private void takeSeeds(MemberTable members) {
