Divide the slots of 5 daemons by demand, highest tier first

Cause: with 5 daemons that hear of each other once a second, the top tier missed its target at the crest: daemons with much chat had no slots while others held lower tiers on theirs, several daemons filled the same engine, and requests that ran for their age took one slot of each daemon.

Change: a daemon's part of an upstream is rounded down and one slot more only where the peers left one free; the top tier may use any slot that looks free; a daemon that holds more than its share takes streams of lower tiers back; the slots for aged requests are a twentieth of the fleet's, divided like a limit, and protected from preemption for 5 s; the choice ranks by this daemon's own requests, as ranking by the peers' old counts sends all daemons to the same engine.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/Dispatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/Dispatcher.java
@@ -43,6 +43,7 @@
 		}
 		if (this.policies.preempts()) {
 			preempt(pool, nowNanos);
+			yieldExcess(pool, nowNanos);
 		}
 	}
 
@@ -82,7 +83,7 @@
 		for (Tier waiting : TIERS) {
 			int wanted = pool.queue().size(waiting) - pool.preempting();
 			for (int count = 0; count < wanted; count++) {
-				PolicyGrant victim = this.preemption.victim(pool.running(), waiting);
+				PolicyGrant victim = this.preemption.victim(pool.running(), waiting, nowNanos);
 				if (victim == null) {
 					return;
 				}
@@ -91,6 +92,17 @@
 		}
 	}
 
+	private void yieldExcess(ServicePool pool, long nowNanos) {
+		int excess = pool.running().size() - pool.slotRules().capacity() - pool.preempting();
+		for (int count = 0; count < excess; count++) {
+			PolicyGrant victim = this.preemption.victim(pool.running(), Tier.INTERACTIVE, nowNanos);
+			if (victim == null) {
+				return;
+			}
+			take(victim, Tier.INTERACTIVE, nowNanos);
+		}
+	}
+
 	private void take(PolicyGrant victim, Tier waiting, long nowNanos) {
 		victim.startPreempting();
 		victim.ticket().pool().preemptingStarted();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PreemptionRule.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PreemptionRule.java
@@ -15,12 +15,14 @@
 
 	private static final int LARGEST_PREEMPTIONS = 8;
 
+	private static final long AGED_PROTECTED_NANOS = 5_000_000_000L;
+
 	private static final long LEAST_TOKENS = 1;
 
-	@Nullable PolicyGrant victim(Set<PolicyGrant> running, Tier waiting) {
+	@Nullable PolicyGrant victim(Set<PolicyGrant> running, Tier waiting, long nowNanos) {
 		PolicyGrant victim = null;
 		for (PolicyGrant grant : running) {
-			if (waiting.isAbove(grant.ticket().tier()) && isEligible(grant)
+			if (waiting.isAbove(grant.ticket().tier()) && isEligible(grant, nowNanos)
 					&& (victim == null || isBetter(grant, victim))) {
 				victim = grant;
 			}
@@ -35,11 +37,15 @@
 		return order > 0 || (order == 0 && grant.produced() > victim.produced());
 	}
 
-	private static boolean isEligible(PolicyGrant grant) {
+	private static boolean isEligible(PolicyGrant grant, long nowNanos) {
 		PolicyTicket ticket = grant.ticket();
-		return !grant.isPreempting() && !grant.isAged() && ticket.facts().streamed()
+		return !grant.isPreempting() && !isProtected(grant, nowNanos) && ticket.facts().streamed()
 				&& Boolean.TRUE.equals(ticket.facts().entry().resumable()) && ticket.preemptions() < LARGEST_PREEMPTIONS
 				&& grant.produced() >= LEAST_TOKENS;
 	}
 
+	private static boolean isProtected(PolicyGrant grant, long nowNanos) {
+		return grant.isAged() && nowNanos - grant.startedAtNanos() < AGED_PROTECTED_NANOS;
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
@@ -193,6 +193,8 @@
 		for (Tier tier : Tier.values()) {
 			collector.limit(this.slotRules.limitName(tier), inFlight(tier) + this.queue.size(tier));
 		}
+		collector.limit(this.slotRules.agedLimitName(),
+				this.queue.size() - this.queue.size(Tier.INTERACTIVE) + this.slotRules.agedInFlight());
 		for (Upstream upstream : this.upstreams) {
 			collector.inFlight(Upstream.keyOf(upstream.host()), upstream.inFlight());
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/SlotRules.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/SlotRules.java
@@ -7,6 +7,7 @@
 import org.cyclamenstall.internal.policy.limits.FleetDemand;
 import org.cyclamenstall.internal.policy.limits.LimitShare;
 import org.cyclamenstall.internal.policy.limits.PeerDemand;
+import org.cyclamenstall.internal.policy.limits.SharedLimit;
 import org.cyclamenstall.internal.policy.upstream.Upstream;
 
 /**
@@ -23,7 +24,7 @@
 
 	private static final double PEAK_HALF_LIFE_NANOS = 2e9;
 
-	private static final int AGED_AT_A_TIME = 1;
+	private static final double AGED_PART = 0.05;
 
 	private static final double ROUNDING = 0.5;
 
@@ -39,14 +40,18 @@
 
 	private final int[] inFlight = new int[this.tierCount];
 
-	private final int[] demand = new int[this.tierCount];
-
 	private final double[] peak = new double[this.tierCount];
 
+	private final SharedLimit aged;
+
 	private int agedInFlight;
 
+	private int agedPart = 1;
+
 	private int capacity;
 
+	private int windows;
+
 	private double fraction = 1;
 
 	private boolean alone = true;
@@ -57,6 +62,7 @@
 		this.service = service;
 		this.tiers = tiers;
 		this.share = share;
+		this.aged = new SharedLimit(agedLimitName(), share, peers);
 		this.peers = peers;
 	}
 
@@ -64,6 +70,14 @@
 		return "slots/" + this.service + "/" + tier.label();
 	}
 
+	int agedInFlight() {
+		return this.agedInFlight;
+	}
+
+	String agedLimitName() {
+		return "slots/" + this.service + "/aged";
+	}
+
 	int capacity() {
 		return this.capacity;
 	}
@@ -79,7 +93,6 @@
 	}
 
 	void demand(Tier tier, int count, long nowNanos) {
-		this.demand[tier.ordinal()] = count;
 		double decay = Math.pow(0.5, (nowNanos - this.peakAtNanos) / PEAK_HALF_LIFE_NANOS);
 		this.peak[tier.ordinal()] = Math.max(count, this.peak[tier.ordinal()] * decay);
 		if (tier.ordinal() == this.tierCount - 1) {
@@ -96,8 +109,10 @@
 				windows += upstream.windowSize();
 			}
 		}
+		this.agedPart = this.aged.wholeShare(Math.max(1, fleetSlots * AGED_PART), nowNanos);
 		double share = fleetShare(fleetSlots, nowNanos);
 		this.alone = share >= fleetSlots;
+		this.windows = windows;
 		this.fraction = (fleetSlots > 0) ? Math.min(1, share / fleetSlots) : 1;
 		this.capacity = Math.min(windows, Math.max(1, (int) (share + ROUNDING)));
 	}
@@ -117,14 +132,15 @@
 			total += this.inFlight[index];
 			lower += (index >= tier.ordinal()) ? this.inFlight[index] : 0;
 		}
-		if (total >= this.capacity || (aged && this.agedInFlight >= AGED_AT_A_TIME)) {
+		int bound = (tier.ordinal() == 0 && this.tiers) ? this.windows : this.capacity;
+		if (total >= bound || (aged && this.agedInFlight >= this.agedPart)) {
 			return false;
 		}
 		return aged || tier.ordinal() == 0 || !this.tiers || lower < lowerPart(this.capacity, tier);
 	}
 
 	boolean fits(Upstream upstream, Tier tier, boolean aged) {
-		int allowed = allowed(upstream);
+		int allowed = allowed(upstream, tier);
 		if (upstream.inFlight() >= allowed) {
 			return false;
 		}
@@ -138,14 +154,26 @@
 		return lower < lowerPart(allowed, tier);
 	}
 
+	int allowed(Upstream upstream, Tier tier) {
+		int window = upstream.windowSize();
+		if (tier.ordinal() == 0 && this.tiers) {
+			return hasFreeSlot(upstream) ? window : Math.min(window, allowed(upstream));
+		}
+		return allowed(upstream);
+	}
+
 	int allowed(Upstream upstream) {
 		int window = upstream.windowSize();
 		if (this.alone) {
 			return window;
 		}
-		int own = (int) Math.ceil(upstream.slots() * this.fraction);
-		int left = upstream.slots() - upstream.peersInFlight();
-		return Math.max(1, Math.min(window, Math.max(own, left)));
+		int base = (int) (upstream.slots() * this.fraction);
+		int more = hasFreeSlot(upstream) ? 1 : 0;
+		return Math.max(1, Math.min(window, base + more));
+	}
+
+	private static boolean hasFreeSlot(Upstream upstream) {
+		return upstream.inFlight() + upstream.peersInFlight() < upstream.slots();
 	}
 
 	private int lowerPart(int slots, Tier tier) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/upstream/ExpectedLatencyChoice.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/upstream/ExpectedLatencyChoice.java
@@ -39,11 +39,12 @@
 			return null;
 		}
 		int start = this.random.nextInt(count);
+		int stride = stride(count);
 		Upstream best = null;
 		double bestNanos = Double.MAX_VALUE;
 		int found = 0;
 		for (int tried = 0; tried < count && found < CANDIDATES; tried++) {
-			Upstream candidate = upstreams.get(next(start, tried, count));
+			Upstream candidate = upstreams.get((int) ((start + (long) tried * stride) % count));
 			if (!eligible.test(candidate)) {
 				continue;
 			}
@@ -57,8 +58,16 @@
 		return best;
 	}
 
-	private int next(int start, int tried, int count) {
-		return (start + tried) % count;
+	private int stride(int count) {
+		int stride = (count > 2) ? 1 + this.random.nextInt(count - 1) : 1;
+		while (greatestCommonDivisor(stride, count) != 1) {
+			stride = stride % (count - 1) + 1;
+		}
+		return stride;
+	}
+
+	private static int greatestCommonDivisor(int one, int other) {
+		return (other == 0) ? one : greatestCommonDivisor(other, one % other);
 	}
 
 	private boolean isBetter(Upstream candidate, double expectedNanos, Upstream best, double bestNanos) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/upstream/Upstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/upstream/Upstream.java
@@ -278,10 +278,10 @@
 	 */
 	public double expectedFirstTokenNanos(LatencyWindow usual, long nowNanos) {
 		double base = Math.max(1, this.firstToken.valueOr(usual.medianNanos()));
-		int load = load(nowNanos);
-		double expected = base * (1 + (double) load / this.slots);
-		if (load >= this.slots) {
-			expected += this.occupancy.valueOr(base) * (load - this.slots + 1) / this.slots;
+		double expected = base * (1 + (double) this.inFlight / this.slots);
+		int excess = load(nowNanos) - this.slots + 1;
+		if (excess > 0) {
+			expected += this.occupancy.valueOr(base) * excess / this.slots;
 		}
 		long oldest = oldestAwaitingNanos(nowNanos);
 		return (oldest > usual.medianNanos()) ? Math.max(expected, OVERDUE_WEIGHT * oldest) : expected;
