--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadRun.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/LoadRun.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.standin.load;
 
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
@@ -69,9 +70,11 @@
 			CompletableFuture<?>[] calls = this.arrivals.stream()
 				.map(this::sendInTime)
 				.toArray(CompletableFuture[]::new);
+			double machineLoad = ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
 			awaitAll(calls);
 			EngineCounts after = this.target.engineCounts();
-			return new LoadResult(allResults(), (before != null && after != null) ? after.since(before) : null);
+			return new LoadResult(allResults(), (before != null && after != null) ? after.since(before) : null,
+					machineLoad);
 		}
 		finally {
 			this.faultTimer.shutdownNow();
@@ -143,8 +146,9 @@
 	 *
 	 * @param requests what the callers saw, warm-up included
 	 * @param engines the work of the engines, or {@code null} if they are not at hand
+	 * @param machineLoad the load average of this machine at the end of sending
 	 */
-	record LoadResult(List<RequestResult> requests, @Nullable EngineCounts engines) {
+	record LoadResult(List<RequestResult> requests, @Nullable EngineCounts engines, double machineLoad) {
 
 	}
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
@@ -24,13 +24,13 @@
 				"attained", "window", "outside", "first50", "first99", "first99.9", "win99", "out99", "gap50", "gap99",
 				"longest");
 		report.classes().forEach(this::print);
-		line("goodput %.0f tokens/s (window %.0f, outside %.0f); wasted %s; attempts/request %s; engines %s",
+		line("goodput %.0f tokens/s (window %.0f, outside %.0f); wasted %s; attempts/request %s, of them resumed %s; engines %s",
 				report.goodputTokens(), report.windowGoodputTokens(), report.outsideGoodputTokens(),
-				percent(report.wastedShare()),
-				(report.attemptsPerRequest() != null) ? format("%.3f", report.attemptsPerRequest()) : "-",
+				percent(report.wastedShare()), ratio(report.attemptsPerRequest()), ratio(report.resumesPerRequest()),
 				report.engines());
-		line("sent late by p50 %.1f, p99 %.1f, at most %.1f ms", report.sendingDelay().p50(),
-				report.sendingDelay().p99(), report.sendingDelay().maximum());
+		line("sent late by p50 %.1f, p99 %.1f, at most %.1f ms; machine load %.1f on %d processors",
+				report.sendingDelay().p50(), report.sendingDelay().p99(), report.sendingDelay().maximum(),
+				report.machineLoad(), Runtime.getRuntime().availableProcessors());
 		report.classes().forEach((each) -> line("  %s: %s", each.name(), each.ends()));
 		report.accounts()
 			.stream()
@@ -52,6 +52,10 @@
 		this.output.println(format(pattern, values));
 	}
 
+	private static String ratio(@Nullable Double value) {
+		return (value != null) ? format("%.3f", value) : "-";
+	}
+
 	private static String percent(@Nullable Double share) {
 		return (share != null) ? format("%.2f%%", share * PERCENT) : "-";
 	}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/RunReport.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/RunReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import org.HdrHistogram.Histogram;
@@ -24,13 +25,17 @@
  * to the end of the last request, warm-up included
  * @param attemptsPerRequest the attempts at engines over the chat requests that were not
  * refused
+ * @param resumesPerRequest the attempts that went on after a preemption or a failure,
+ * over the same requests; they are among the attempts
+ * @param machineLoad the load average of this machine in the last minute of sending;
+ * above its number of processors the latencies are also the machine's
  * @param engines the work of the engines
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 record RunReport(String scenario, String policy, long seed, String commit, List<ClassReport> classes,
 		List<AccountReport> accounts, Latencies sendingDelay, double goodputTokens, double windowGoodputTokens,
 		double outsideGoodputTokens, @Nullable Double wastedShare, @Nullable Double attemptsPerRequest,
-		@Nullable EngineCounts engines) {
+		@Nullable Double resumesPerRequest, double machineLoad, @Nullable EngineCounts engines) {
 
 	private static final int STEPS_PER_SECOND = 10;
 
@@ -58,7 +63,8 @@
 				goodput(scenario, result.requests(), (second) -> true),
 				goodput(scenario, result.requests(), (second) -> isInWindow(scenario, second)),
 				goodput(scenario, result.requests(), (second) -> !isInWindow(scenario, second)), wastedShare(result),
-				attemptsPerRequest(result), result.engines());
+				perRequest(result, EngineCounts::received), perRequest(result, EngineCounts::resumed),
+				result.machineLoad(), result.engines());
 	}
 
 	private static Latencies sendingDelay(List<RequestResult> results) {
@@ -112,13 +118,13 @@
 		return (double) (engines.tokensMade() - delivered) / engines.tokensMade();
 	}
 
-	private static @Nullable Double attemptsPerRequest(LoadRun.LoadResult result) {
+	private static @Nullable Double perRequest(LoadRun.LoadResult result, ToLongFunction<EngineCounts> count) {
 		EngineCounts engines = result.engines();
 		long requests = result.requests()
 			.stream()
 			.filter((request) -> request.arrival().requestClass().isChat() && request.end() != RequestEnd.REFUSED)
 			.count();
-		return (engines != null && requests > 0) ? (double) engines.received() / requests : null;
+		return (engines != null && requests > 0) ? (double) count.applyAsLong(engines) / requests : null;
 	}
 
 }
