Bring the replica up to the head before a repeated edit is reported

A host that was asked to repeat an edit made elsewhere offered only that record to its replica, and then reported a revision while it lacked the edits before it; the report of hosts in force would have counted it. The new test failed first (the entry of an earlier edit was missing on the host that reported the revision) and passes now.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueEditTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueEditTests.java
@@ -166,6 +166,21 @@
 
 	}
 
+	@Nested
+	class WhenAnEditIsRepeatedOnAnotherHost {
+
+		@Test
+		void thatHostHoldsAllEditsUpToTheRevisionThatItReports() {
+			for (int number = 1; number <= 3; number++) {
+				CatalogueEditTests.this.first.put("edit-" + number, CatalogueHost.service("service-" + number, "ion"));
+			}
+			CatalogueEditTests.this.second.put("edit-3", CatalogueHost.service("service-3", "ion"));
+			assertThat(CatalogueEditTests.this.second.replica.summary().revision(), is(3L));
+			assertThat(CatalogueEditTests.this.second.owner("service-1"), is("ion"));
+		}
+
+	}
+
 	@Nested
 	class WhenOperatorsRace {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueEditCommand.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueEditCommand.java
@@ -192,6 +192,7 @@
 	private @Nullable CatalogueEditAnswer earlierResult(CatalogueHead head, @Nullable StoredEntry current) {
 		Optional<CatalogueRecord> announced = head.recordOfEdit(editId());
 		if (announced.isPresent()) {
+			catchUp(head);
 			return accept(announced.get());
 		}
 		if (current != null) {
@@ -239,10 +240,19 @@
 			new StoreRepair(this.stored, this.replica, this.random).run(this.stored.readAll());
 			return false;
 		}
-		if (held < head.revision() || !this.replica.isLoaded()) {
+		catchUp(head);
+		return true;
+	}
+
+	/**
+	 * Brings the replica up to the head, so that a revision that it reports never hides a
+	 * missing record.
+	 * @param head the head
+	 */
+	private void catchUp(CatalogueHead head) {
+		if (this.replica.summary().revision() < head.revision() || !this.replica.isLoaded()) {
 			this.replica.offer(recordsUpTo(head), "edit");
 		}
-		return true;
 	}
 
 	private List<CatalogueRecord> recordsUpTo(CatalogueHead head) {
@@ -269,6 +279,7 @@
 				System.currentTimeMillis(), this.entry);
 		WriteResult result = this.stored.writeHead(head.value().with(record, previous), head.version());
 		if (result == WriteResult.APPLIED) {
+			this.replica.offer(List.of(record), "edit");
 			return accept(record);
 		}
 		if (result == WriteResult.UNKNOWN) {
@@ -286,10 +297,9 @@
 		catch (RouterException ex) {
 			this.lastFailure = String.valueOf(ex.getMessage());
 		}
-		Catalogue before = this.replica.current();
-		this.replica.offer(List.of(record), "edit");
-		List<FieldFault> warnings = (this.entry != null) ? CatalogueChecks.warnings(this.entry, before)
-				: CatalogueChecks.deletionWarnings(name(), before);
+		Catalogue catalogue = this.replica.current();
+		List<FieldFault> warnings = (this.entry != null) ? CatalogueChecks.warnings(this.entry, catalogue)
+				: CatalogueChecks.deletionWarnings(name(), catalogue);
 		return CatalogueEditAnswer.accepted(record, warnings);
 	}
 
