--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueWatcher.java
@@ -181,7 +181,7 @@
 		if (missing.isEmpty()) {
 			readAll();
 		}
-		else if (!missing.get().isEmpty()) {
+		else {
 			this.replica.offer(missing.get(), "store");
 		}
 	}
