Make the fanout of the exchange a setting

peers.fanout selects it; absent means all. Idle exchange threads end after 2 s, since a queue served in turn kept all 32 alive. 69 tests pass (-Dtest='*Claim*Tests,Peer*Tests,MemberTableTests,RandomFanoutTests,DemandBoundTests,*Settings*Tests,*Example*Tests').

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/PeerDaemon.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/PeerDaemon.java
@@ -1,11 +1,11 @@
 package org.cyclamenstall.test.peers;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -14,6 +14,8 @@
 import org.cyclamenstall.claims.ClaimantAnswer;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.hosts.HostState;
+import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.catalogue.LocalCatalogue;
 import org.cyclamenstall.internal.peers.PeerExchange;
 import org.cyclamenstall.kernel.MonotonicClock;
@@ -43,6 +45,8 @@
 
 	private final LocalCatalogue catalogue = new LocalCatalogue(new PrometheusRegistry());
 
+	private final PublishedHostList hosts = new PublishedHostList();
+
 	private final RecordedDemand demand = new RecordedDemand();
 
 	private final Map<String, ClaimantAnswer> claims = new ConcurrentHashMap<>();
@@ -61,7 +65,7 @@
 				new PlatformSettings(new StoreSettings(null, "127.0.0.1", 1, null, null, null),
 						new HostListSettings(null, "127.0.0.1", 1, null, null, null)),
 				null, null, null, null);
-		this.exchange = new PeerExchange(this.settings, new EmptyHostList(), this.catalogue, this.demand,
+		this.exchange = new PeerExchange(this.settings, this.hosts, this.catalogue, this.demand,
 				(attempt) -> this.claims.getOrDefault(attempt, ClaimantAnswer.UNKNOWN), MonotonicClock.SYSTEM,
 				RandomSource.XO_RO_SHI_RO_128_PP.create(incarnation), new PrometheusRegistry())
 			.setIncarnation(incarnation);
@@ -81,6 +85,10 @@
 		return this;
 	}
 
+	void listHost(PeerAddress daemon) {
+		this.hosts.publish(daemon);
+	}
+
 	PeerAddress seed() {
 		return new PeerAddress(this.host, "127.0.0.2", this.exchange.port());
 	}
@@ -161,15 +169,17 @@
 	}
 
 	/**
-	 * Lists no host.
+	 * Lists the daemons that a test publishes.
 	 */
-	private static final class EmptyHostList implements HostList {
+	private static final class PublishedHostList implements HostList {
 
-		private final List<Consumer<HostSnapshot>> listeners = new ArrayList<>();
+		private final List<Consumer<HostSnapshot>> listeners = new CopyOnWriteArrayList<>();
+
+		private volatile HostSnapshot current = HostSnapshot.EMPTY;
 
 		@Override
 		public HostSnapshot current() {
-			return HostSnapshot.EMPTY;
+			return this.current;
 		}
 
 		@Override
@@ -181,6 +191,13 @@
 		public void watch(String service) {
 		}
 
+		void publish(PeerAddress daemon) {
+			ListedHost listed = new ListedHost("cyclamenstall", daemon.host(), daemon.address(), daemon.port(),
+					"ro-central-a", HostState.LIVE);
+			this.current = new HostSnapshot(Map.of("cyclamenstall", List.of(listed)));
+			this.listeners.forEach((listener) -> listener.accept(this.current));
+		}
+
 	}
 
 }
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/PeerExchangeTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/PeerExchangeTests.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 
 import org.cyclamenstall.claims.ClaimStatus;
@@ -79,6 +80,29 @@
 			assertThat(third.demand().reports().get("gara-1"), is(first.demand().localDemand()));
 		}
 
+		@Test
+		void theListOfThePlatformIsEnough() {
+			PeerDaemon first = start("gara-1", 1, FREQUENT);
+			PeerDaemon second = start("gara-2", 1, FREQUENT);
+			first.listHost(second.seed());
+			awaitState(second, "gara-1", MemberState.ALIVE);
+		}
+
+		@Test
+		void aFanoutOfOneReachesAll() {
+			List<PeerDaemon> daemons = new ArrayList<>();
+			PeerAddress seed = null;
+			for (int number = 1; number <= 4; number++) {
+				List<PeerAddress> seeds = (seed != null) ? List.of(seed) : List.of();
+				PeerSettings peers = new PeerSettings("127.0.0.2", 0, null, seeds, FREQUENT, 10_000, null, null, 1);
+				PeerDaemon daemon = PeerDaemon.create("gara-" + number, 1, peers).start();
+				daemons.add(PeerExchangeTests.this.closer.register(daemon));
+				seed = daemon.seed();
+			}
+			daemons.get(0).offer(PeerDaemon.record("chat", 5));
+			daemons.forEach((daemon) -> awaitRevision(daemon, 5));
+		}
+
 		@Test
 		void aDaemonWithoutStoreTakesTheWholeCatalogue() {
 			PeerDaemon first = start("gara-1", 1, RARE);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/ExchangeRounds.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/ExchangeRounds.java
@@ -32,7 +32,7 @@
 
 	private static final int EXCHANGE_THREADS = 32;
 
-	private static final long IDLE_THREAD_SECONDS = 10;
+	private static final long IDLE_THREAD_SECONDS = 2;
 
 	private static final long PUSH_PAUSE_MILLIS = 20;
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerExchange.java
@@ -58,7 +58,7 @@
 
 	private final Closer closer = new Closer();
 
-	private PeerSelection selection = new AllPeers();
+	private PeerSelection selection;
 
 	private volatile PeerIdentity identity;
 
@@ -73,7 +73,7 @@
 	private @Nullable volatile ExchangeRounds rounds;
 
 	/**
-	 * Creates an exchange with every peer; its incarnation is the time of this call.
+	 * Creates an exchange; its incarnation is the time of this call.
 	 * @param settings the settings of the daemon
 	 * @param hosts the platform's list of hosts
 	 * @param catalogue the catalogue in force
@@ -93,6 +93,8 @@
 		this.clock = clock;
 		this.random = random;
 		this.metrics = new PeerMetrics(metrics);
+		Integer fanout = settings.peers().fanout();
+		this.selection = (fanout != null) ? new RandomFanout(fanout, random) : new AllPeers();
 		this.identity = new PeerIdentity(settings.host(), System.currentTimeMillis(), settings.failureDomain(), null);
 	}
 
@@ -107,7 +109,7 @@
 	}
 
 	/**
-	 * Sets how the peers of a round are chosen; all of them by default.
+	 * Sets how the peers of a round are chosen, in place of what the settings say.
 	 * @param selection the selection
 	 * @return this exchange
 	 */
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/settings/PeerSettings.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/settings/PeerSettings.java
@@ -23,13 +23,15 @@
  * address translation stands before this one; otherwise the one that is listened on
  * @param advertisedPort the TCP port that other daemons are told; otherwise the one that
  * is listened on
+ * @param fanout the number of peers in a round of exchanges, for deployments of more than
+ * some twenty daemons; otherwise every peer
  */
 public record PeerSettings(@NotNull @Pattern(regexp = DaemonSettings.IP_NUMBER) String address,
 		@NotNull @Min(0) @Max(65_535) Integer port, @Nullable String secretFile,
 		@NotNull List<@Valid PeerAddress> seeds, @NotNull @Min(50) @Max(60_000) Integer exchangeMillis,
 		@NotNull @Min(10) @Max(60_000) Integer timeoutMillis,
 		@Nullable @Pattern(regexp = DaemonSettings.IP_NUMBER) String advertisedAddress,
-		@Nullable @Min(1) @Max(65_535) Integer advertisedPort) {
+		@Nullable @Min(1) @Max(65_535) Integer advertisedPort, @Nullable @Min(1) @Max(64) Integer fanout) {
 
 	private static final int DEFAULT_EXCHANGE_MILLIS = 1_000;
 
@@ -60,4 +62,23 @@
 		this(address, port, secretFile, seeds, exchangeMillis, timeoutMillis, null, null);
 	}
 
+	/**
+	 * Creates settings of an exchange with every peer.
+	 * @param address the IP number to listen on
+	 * @param port the TCP port
+	 * @param secretFile the file of the shared secret, or {@code null}
+	 * @param seeds the daemons known from the start
+	 * @param exchangeMillis the pause between two exchanges, in milliseconds, or
+	 * {@code null} for the default
+	 * @param timeoutMillis the longest wait, in milliseconds, or {@code null} for the
+	 * default
+	 * @param advertisedAddress the IP number that other daemons are told, or {@code null}
+	 * @param advertisedPort the TCP port that other daemons are told, or {@code null}
+	 */
+	public PeerSettings(String address, Integer port, @Nullable String secretFile, List<PeerAddress> seeds,
+			@Nullable Integer exchangeMillis, @Nullable Integer timeoutMillis, @Nullable String advertisedAddress,
+			@Nullable Integer advertisedPort) {
+		this(address, port, secretFile, seeds, exchangeMillis, timeoutMillis, advertisedAddress, advertisedPort, null);
+	}
+
 }
