Go on exchanging past a catalogue record that cannot be read

A record of a newer version (an unknown tier, say) made every exchange that carried it fail, so daemons of two versions would have suspected each other. Leaving out just that record was ruled out: the revision would hide that it is missing. Records are now taken up to the first unreadable one, and a daemon without a catalogue takes a whole one or none; the rest of the exchange goes on.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/PeerProtocolTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/PeerProtocolTests.java
@@ -1,5 +1,13 @@
 package org.cyclamenstall.test.peers;
 
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.protocol.TField;
@@ -9,8 +17,10 @@
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransport;
 import org.apache.thrift.transport.layered.TFramedTransport;
+import org.cyclamenstall.internal.peers.PeerMessages;
 import org.cyclamenstall.junit.ThrownBy;
 import org.cyclamenstall.peers.MemberState;
+import org.cyclamenstall.wire.CatalogueItem;
 import org.cyclamenstall.wire.ExchangeRequest;
 import org.cyclamenstall.wire.ExchangeResponse;
 import org.cyclamenstall.wire.Identity;
@@ -76,6 +86,60 @@
 
 	}
 
+	@Nested
+	class WhenARecordCannotBeRead {
+
+		private ExchangeRequest withUnreadableRecord() {
+			List<CatalogueItem> items = PeerMessages.toWire(List.of(PeerDaemon.record("chat", 3),
+					PeerDaemon.record("newer", 4), PeerDaemon.record("stock", 5)));
+			items.get(1).setJson("{\"name\":[]}".getBytes(StandardCharsets.UTF_8));
+			ExchangeRequest request = request(1);
+			request.setRecords(items);
+			request.setRecordsAfter(0);
+			return request;
+		}
+
+		@Test
+		void thoseBeforeItAreTakenAndTheExchangeGoesOn() throws TException {
+			PeerProtocolTests.this.daemon.offer(PeerDaemon.record("chat", 1));
+			client().exchange(withUnreadableRecord());
+			assertThat(PeerProtocolTests.this.daemon.revision(), is(3L));
+			assertThat(PeerProtocolTests.this.daemon.stateOf("gara-2"), is(MemberState.ALIVE));
+		}
+
+		@Test
+		void aDaemonWithoutACatalogueTakesNone() throws TException {
+			client().exchange(withUnreadableRecord());
+			assertThat(PeerProtocolTests.this.daemon.catalogue().isLoaded(), is(false));
+		}
+
+	}
+
+	@Nested
+	class WhenTheMessageIsGarbage {
+
+		private static final int FRAMES = 200;
+
+		private static final int LONGEST_FRAME_BYTES = 300;
+
+		@Test
+		void theDaemonGoesOn() throws TException, IOException {
+			UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11L);
+			for (int frame = 0; frame < FRAMES; frame++) {
+				byte[] garbage = new byte[1 + random.nextInt(LONGEST_FRAME_BYTES)];
+				random.nextBytes(garbage);
+				try (Socket socket = new Socket("127.0.0.2", PeerProtocolTests.this.daemon.exchange().port())) {
+					DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+					output.writeInt(garbage.length);
+					output.write(garbage);
+					output.flush();
+				}
+			}
+			assertThat(client().exchange(request(1)).getReceiver().getHost(), is("gara-1"));
+		}
+
+	}
+
 	@Nested
 	class WhenTheSenderWasReplaced {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/CatalogueSync.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/CatalogueSync.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.internal.peers;
 
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 
 import org.apache.logging.log4j.LogManager;
@@ -7,6 +9,7 @@
 import org.cyclamenstall.catalogue.CatalogueRecord;
 import org.cyclamenstall.catalogue.CatalogueReplica;
 import org.cyclamenstall.catalogue.CatalogueSummary;
+import org.cyclamenstall.wire.CatalogueItem;
 import org.cyclamenstall.wire.CatalogueState;
 import org.cyclamenstall.wire.ExchangeRequest;
 import org.cyclamenstall.wire.ExchangeResponse;
@@ -103,7 +106,7 @@
 	 */
 	void take(ExchangeRequest request) {
 		if (request.isSetRecords()) {
-			take(PeerMessages.parse(request.getRecords()), request.getRecordsAfter(), request.getSender().getHost());
+			take(request.getRecords(), request.getRecordsAfter(), request.getSender().getHost());
 		}
 	}
 
@@ -113,14 +116,15 @@
 	 */
 	void take(ExchangeResponse response) {
 		if (response.isSetRecords()) {
-			take(PeerMessages.parse(response.getRecords()), response.getRecordsAfter(),
-					response.getReceiver().getHost());
+			take(response.getRecords(), response.getRecordsAfter(), response.getReceiver().getHost());
 		}
 	}
 
-	private void take(List<CatalogueRecord> records, long after, String host) {
-		boolean complete = after == 0 || (this.catalogue.isLoaded() && revision() >= after);
-		if (!complete) {
+	private void take(List<CatalogueItem> items, long after, String host) {
+		List<CatalogueRecord> records = readable(items, host);
+		boolean whole = after == 0 && records.size() == items.size();
+		boolean follows = this.catalogue.isLoaded() && revision() >= after;
+		if (!whole && !follows) {
 			logger.debug("Left {} records of peer {}: they start after revision {}", records.size(), host, after);
 			return;
 		}
@@ -130,6 +134,28 @@
 		}
 	}
 
+	/**
+	 * Reads records up to the first one that this version cannot read; later ones would
+	 * hide that it is missing.
+	 * @param items the records in order of revision
+	 * @param host the name of the peer's host
+	 * @return the records before the first unreadable one
+	 */
+	private static List<CatalogueRecord> readable(List<CatalogueItem> items, String host) {
+		List<CatalogueRecord> records = new ArrayList<>(items.size());
+		for (CatalogueItem item : items) {
+			try {
+				records.add(PeerMessages.fromWire(item));
+			}
+			catch (IOException ex) {
+				logger.warn("The catalogue record of peer {} at revision {} cannot be read: {}", host,
+						item.getRevision(), ex.toString());
+				return records;
+			}
+		}
+		return records;
+	}
+
 	private void attach(ExchangeRequest request, long after) {
 		request.setRecords(PeerMessages.toWire(this.catalogue.recordsAfter(after)));
 		request.setRecordsAfter(after);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerMessages.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerMessages.java
@@ -83,22 +83,14 @@
 	}
 
 	/**
-	 * Converts catalogue records.
-	 * @param items the messages
-	 * @return the records
-	 * @throws UncheckedIOException if a record is malformed
+	 * Converts a catalogue record.
+	 * @param item the message
+	 * @return the record
+	 * @throws IOException if the record is malformed or of a form that this version does
+	 * not know
 	 */
-	public static List<CatalogueRecord> parse(List<CatalogueItem> items) {
-		List<CatalogueRecord> records = new ArrayList<>(items.size());
-		try {
-			for (CatalogueItem item : items) {
-				records.add(mapper.readValue(item.getJson(), CatalogueRecord.class));
-			}
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-		return records;
+	public static CatalogueRecord fromWire(CatalogueItem item) throws IOException {
+		return mapper.readValue(item.getJson(), CatalogueRecord.class);
 	}
 
 	/**
