--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/yaml/CheckedYamlReader.java
@@ -8,7 +8,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -64,8 +66,18 @@
 	 * @throws InvalidYamlException if the file cannot be read or fails its checks
 	 */
 	public <T> T read(Path file, Class<T> type) {
+		return read(text(file), file.toString(), type);
+	}
+
+	/**
+	 * Reads a file without a check of its content.
+	 * @param file the file
+	 * @return the text
+	 * @throws InvalidYamlException if the file cannot be read
+	 */
+	public String text(Path file) {
 		try {
-			return read(Files.readString(file, StandardCharsets.UTF_8), file.toString(), type);
+			return Files.readString(file, StandardCharsets.UTF_8);
 		}
 		catch (IOException ex) {
 			throw new InvalidYamlException(this.kind, file.toString(),
@@ -83,18 +95,43 @@
 	 * @throws InvalidYamlException if the text fails its checks
 	 */
 	public <T> T read(String text, String source, Class<T> type) {
+		return read(text, source, type, (document) -> List.of());
+	}
+
+	/**
+	 * Reads a text and makes further checks, once its fields pass theirs.
+	 * @param <T> the type of document
+	 * @param text the text
+	 * @param source the name of the document in messages
+	 * @param type the type of document
+	 * @param check returns the faults of a document
+	 * @return the checked document
+	 * @throws InvalidYamlException if the text fails its checks
+	 */
+	public <T> T read(String text, String source, Class<T> type, Function<T, List<FieldFault>> check) {
 		YamlLines lines = lines(text, source);
-		T document = parse(text, source, type);
-		List<YamlProblem> problems = this.validator.validate(document)
-			.stream()
-			.map((violation) -> problem(violation, lines))
+		if (lines.isEmpty()) {
+			throw new InvalidYamlException(this.kind, source,
+					List.of(new YamlProblem(1, "", "the document holds no field")));
+		}
+		T document = parse(text, source, type, lines);
+		refuseProblems(source,
+				this.validator.validate(document).stream().map((violation) -> problem(violation, lines)));
+		refuseProblems(source,
+				check.apply(document)
+					.stream()
+					.map((fault) -> new YamlProblem(lines.lineOf(fault.field()), fault.field(), fault.message())));
+		return document;
+	}
+
+	private void refuseProblems(String source, Stream<YamlProblem> found) {
+		List<YamlProblem> problems = found
 			.sorted(Comparator.comparingInt(YamlProblem::line).thenComparing(YamlProblem::field))
 			.distinct()
 			.toList();
 		if (!problems.isEmpty()) {
 			throw new InvalidYamlException(this.kind, source, problems);
 		}
-		return document;
 	}
 
 	private YamlLines lines(String text, String source) {
@@ -102,21 +139,16 @@
 			return YamlLines.read(parser);
 		}
 		catch (JsonProcessingException ex) {
-			throw invalid(source, ex, "", ex.getOriginalMessage());
+			throw invalid(source, ex);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
 	}
 
-	private <T> T parse(String text, String source, Class<T> type) {
+	private <T> T parse(String text, String source, Class<T> type, YamlLines lines) {
 		try {
-			T document = this.mapper.readValue(text, type);
-			if (document == null) {
-				throw new InvalidYamlException(this.kind, source,
-						List.of(new YamlProblem(1, "", "the document is empty")));
-			}
-			return document;
+			return this.mapper.readValue(text, type);
 		}
 		catch (UnrecognizedPropertyException ex) {
 			String known = ex.getKnownPropertyIds()
@@ -124,32 +156,41 @@
 				.map(Object::toString)
 				.sorted()
 				.collect(Collectors.joining(", "));
-			throw invalid(source, ex, path(ex), "unknown field; allowed here: " + known);
+			throw invalid(source, ex, lines, "unknown field; allowed here: " + known);
 		}
 		catch (InvalidFormatException ex) {
-			throw invalid(source, ex, path(ex),
-					"'" + ex.getValue() + "' is not allowed; " + allowed(ex.getTargetType()));
+			throw invalid(source, ex, lines, "'" + ex.getValue() + "' is not allowed; " + allowed(ex.getTargetType()));
 		}
 		catch (MismatchedInputException ex) {
-			throw invalid(source, ex, path(ex), "wrong type; " + allowed(ex.getTargetType()));
+			throw invalid(source, ex, lines, "wrong type; " + allowed(ex.getTargetType()));
 		}
 		catch (JsonMappingException ex) {
-			throw invalid(source, ex, path(ex), ex.getOriginalMessage());
+			throw invalid(source, ex, lines, ex.getOriginalMessage());
 		}
 		catch (JsonProcessingException ex) {
-			throw invalid(source, ex, "", ex.getOriginalMessage());
+			throw invalid(source, ex);
 		}
 	}
 
-	private InvalidYamlException invalid(String source, JsonProcessingException cause, String field, String message) {
+	private InvalidYamlException invalid(String source, JsonProcessingException cause) {
 		int line = (cause.getLocation() != null) ? Math.max(1, cause.getLocation().getLineNr()) : 1;
-		return new InvalidYamlException(this.kind, source, List.of(new YamlProblem(line, field, message)));
+		return new InvalidYamlException(this.kind, source,
+				List.of(new YamlProblem(line, "", cause.getOriginalMessage())));
+	}
+
+	private InvalidYamlException invalid(String source, JsonMappingException cause, YamlLines lines, String message) {
+		String field = path(cause);
+		return new InvalidYamlException(this.kind, source,
+				List.of(new YamlProblem(lines.lineOf(field), field, message)));
 	}
 
 	private static YamlProblem problem(ConstraintViolation<?> violation, YamlLines lines) {
 		String field = violation.getPropertyPath().toString().replaceAll("\\.<[^>]*>", "");
-		String found = (violation.getInvalidValue() != null) ? "; found '" + violation.getInvalidValue() + "'" : "";
-		return new YamlProblem(lines.lineOf(field), field, violation.getMessage() + found);
+		if (violation.getInvalidValue() == null) {
+			return new YamlProblem(lines.lineOf(field), field, "required field is missing");
+		}
+		return new YamlProblem(lines.lineOf(field), field,
+				violation.getMessage() + "; found '" + violation.getInvalidValue() + "'");
 	}
 
 	private static String allowed(Class<?> type) {
