Measure the cost of decisions in virtual time

The real clock made the first tokens of the loop uneven, the windows shrank to one and the loop ended with a request that waited. The clock now moves 100 microseconds a request and the tick is part of the loop.

Only with half of the slots in use.

--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/DecisionCost.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/DecisionCost.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.HdrHistogram.Histogram;
@@ -33,7 +34,8 @@
 
 /**
  * Measures the time that all decisions on one request take: submission, grant, first
- * token, load report, end and settlement, with the slots half in use.
+ * token, load report, end and settlement, with the slots half in use and a tick for each
+ * 200 requests.
  */
 final class DecisionCost {
 
@@ -47,6 +49,10 @@
 
 	private static final int SLOTS = 8;
 
+	private static final long STEP_NANOS = 100_000;
+
+	private static final int REQUESTS_PER_TICK = 200;
+
 	private static final long LARGEST_NANOS = 10_000_000_000L;
 
 	private final PrintStream out;
@@ -64,7 +70,8 @@
 	}
 
 	private void measure(int upstreams, int accounts) {
-		PolicyTrafficController controller = controller(upstreams);
+		AtomicLong clock = new AtomicLong(1);
+		PolicyTrafficController controller = controller(upstreams, clock::get);
 		List<CatalogueEntry> callers = callers(accounts);
 		CatalogueEntry entry = new CatalogueEntry("chat", EntryKind.MODEL, "owner", Tier.INTERACTIVE, Limits.NONE,
 				"cuptor", "chat", null, null, true, null, null, null, null, null, null);
@@ -76,8 +83,12 @@
 				startedAt = System.nanoTime();
 			}
 			long before = System.nanoTime();
+			long now = clock.addAndGet(STEP_NANOS);
+			if (count % REQUESTS_PER_TICK == 0) {
+				controller.tick(now);
+			}
 			RequestFacts facts = new RequestFacts("r", entry, callers.get(count % accounts),
-					Tier.values()[count % Tier.values().length], before, 100, 100, true, true, null);
+					Tier.values()[count % Tier.values().length], now, 100, 100, true, true, null);
 			running.addLast(new Holder(controller, facts));
 			if (running.size() > upstreams * SLOTS / 2) {
 				running.removeFirst().end();
@@ -94,14 +105,14 @@
 				elapsed / 1e3 / MEASURED));
 	}
 
-	private static PolicyTrafficController controller(int upstreams) {
+	private static PolicyTrafficController controller(int upstreams, MonotonicClock clock) {
 		List<ListedHost> hosts = new ArrayList<>();
 		for (int number = 0; number < upstreams; number++) {
 			hosts.add(new ListedHost("cuptor", "cuptor-" + number, "127.1." + number / 250 + "." + (1 + number % 250),
 					80, "ro-central-a", HostState.LIVE));
 		}
 		return TrafficControllers.create(PolicySettings.DEFAULTS, new Trial.EmptyCatalogue(Catalogue.EMPTY),
-				new Trial.FixedHosts(new HostSnapshot(Map.of("cuptor", hosts))), "ro-central-a", MonotonicClock.SYSTEM,
+				new Trial.FixedHosts(new HostSnapshot(Map.of("cuptor", hosts))), "ro-central-a", clock,
 				RandomSource.XO_RO_SHI_RO_128_PP.create(1), new PrometheusRegistry());
 	}
 
