Add the fault matrix over bookings, chats and edits

A cell brings a request or an edit to a step by holding its bytes in a relay, strikes, and lets the bytes go on; nothing sleeps to hit a step. The count of the plain service decides.

The full matrix had not been run yet.

--- /dev/null
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/MatrixTable.java
@@ -0,0 +1,74 @@
+package org.cyclamenstall.junit.matrix;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Gathers the results of a run of the matrix. Not thread-safe.
+ */
+public final class MatrixTable {
+
+	private final Map<MatrixCell, @Nullable CellResult> results = new LinkedHashMap<>();
+
+	/**
+	 * Creates a table in which no cell has run.
+	 * @param cells the cells
+	 */
+	public MatrixTable(List<MatrixCell> cells) {
+		cells.forEach((cell) -> this.results.put(cell, null));
+	}
+
+	/**
+	 * Records a result.
+	 * @param cell the cell
+	 * @param result what happened
+	 */
+	public void record(MatrixCell cell, CellResult result) {
+		this.results.put(cell, result);
+	}
+
+	/**
+	 * Writes the table as a page.
+	 * @param file the file
+	 */
+	public void write(Path file) {
+		StringBuilder page = new StringBuilder();
+		long run = this.results.values().stream().filter((result) -> result != null).count();
+		long passed = this.results.values()
+			.stream()
+			.filter((result) -> result != null && result.violations().isEmpty())
+			.count();
+		page.append("# Fault matrix\n\nWritten by `FaultMatrixTests`; command, from the root:\n\n")
+			.append("    mvn -B verify -pl org.cyclamenstall.test -am -Dtest='FaultMatrixTests*'")
+			.append(" -Dsurefire.failIfNoSpecifiedTests=false")
+			.append(" -Dcyclamenstall.matrix=full -Dcyclamenstall.matrix.write=true\n\n")
+			.append(run + " of " + this.results.size() + " cells ran, " + passed + " passed.\n\n")
+			.append("The promises that a cell checks are those of [PROMISES.md](PROMISES.md): ")
+			.append("a booking runs at most once by the count of the plain service, `not-run` is true, ")
+			.append("a chat is whole and right or ends in a typed error or a cut that shows, ")
+			.append("an accepted edit is in force on every daemon and none reverts.\n\n")
+			.append("| request | step | fault | seed | what happened | result |\n|---|---|---|---|---|---|\n");
+		this.results.forEach((cell, result) -> page.append(row(cell, result)));
+		try {
+			Files.writeString(file, page.toString());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static String row(MatrixCell cell, @Nullable CellResult result) {
+		return "| " + cell.flow().name().toLowerCase(Locale.ROOT) + " | " + cell.step().label() + " | "
+				+ cell.faultLabels() + " | " + cell.seed() + " | " + ((result != null) ? result.happened() : "") + " | "
+				+ ((result != null) ? result.verdict() : "not run") + " |\n";
+	}
+
+}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/FaultRule.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/FaultRule.java
@@ -19,6 +19,8 @@
 
 	private final Pattern request;
 
+	private final Pattern bytes;
+
 	private final int afterBytes;
 
 	private final int maximumHits;
@@ -31,10 +33,13 @@
 
 	private final CountDownLatch released = new CountDownLatch(1);
 
+	private volatile boolean dropping;
+
 	private FaultRule(Builder builder) {
 		this.direction = builder.direction;
 		this.action = builder.action;
 		this.request = Pattern.compile(builder.request);
+		this.bytes = Pattern.compile(builder.bytes);
 		this.afterBytes = builder.afterBytes;
 		this.maximumHits = builder.maximumHits;
 		this.delay = builder.delay;
@@ -50,6 +55,14 @@
 		return new Builder(direction, action);
 	}
 
+	/**
+	 * Returns the direction of the bytes.
+	 * @return the direction
+	 */
+	public Direction direction() {
+		return this.direction;
+	}
+
 	/**
 	 * Waits until the fault was brought about once.
 	 * @param limit the longest wait
@@ -80,6 +93,18 @@
 		this.released.countDown();
 	}
 
+	/**
+	 * Drops held bytes, and all that follow in this direction.
+	 */
+	public void drop() {
+		this.dropping = true;
+		this.released.countDown();
+	}
+
+	boolean isDropping() {
+		return this.dropping;
+	}
+
 	FaultAction action() {
 		return this.action;
 	}
@@ -92,8 +117,8 @@
 		return this.afterBytes;
 	}
 
-	boolean concerns(Direction bytesDirection, String text, long answeredBytes, int length) {
-		return this.direction == bytesDirection && this.request.matcher(text).find()
+	boolean concerns(Direction bytesDirection, String text, String chunk, long answeredBytes, int length) {
+		return this.direction == bytesDirection && this.request.matcher(text).find() && this.bytes.matcher(chunk).find()
 				&& answeredBytes + length > this.afterBytes;
 	}
 
@@ -120,6 +145,8 @@
 
 		private String request = "";
 
+		private String bytes = "";
+
 		private int afterBytes;
 
 		private int maximumHits = Integer.MAX_VALUE;
@@ -142,6 +169,16 @@
 			return this;
 		}
 
+		/**
+		 * Limits the rule to bytes that contain a match of a regular expression.
+		 * @param expression the expression
+		 * @return this builder
+		 */
+		public Builder containing(String expression) {
+			this.bytes = expression;
+			return this;
+		}
+
 		/**
 		 * Lets a number of bytes of the direction pass first; they are counted anew from
 		 * each request.
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/RelayedConnection.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/RelayedConnection.java
@@ -85,7 +85,8 @@
 	private void pass(Direction direction, byte[] buffer, int length, Socket target)
 			throws IOException, InterruptedException {
 		long before = record(direction, buffer, length);
-		Optional<FaultRule> rule = ruleFor(direction, before, length);
+		Optional<FaultRule> rule = ruleFor(direction, new String(buffer, 0, length, StandardCharsets.ISO_8859_1),
+				before);
 		if (rule.isPresent()) {
 			apply(rule.get(), buffer, length, before, target);
 		}
@@ -101,7 +102,9 @@
 		switch (rule.action()) {
 			case HOLD -> {
 				rule.awaitRelease();
-				target.getOutputStream().write(buffer, passed, length - passed);
+				if (!rule.isDropping()) {
+					target.getOutputStream().write(buffer, passed, length - passed);
+				}
 			}
 			case DELAY -> {
 				Thread.sleep(rule.delay().toMillis());
@@ -118,11 +121,11 @@
 		}
 	}
 
-	private Optional<FaultRule> ruleFor(Direction direction, long before, int length) {
+	private Optional<FaultRule> ruleFor(Direction direction, String chunk, long before) {
 		String text = requestText();
 		return this.proxy.rules()
 			.stream()
-			.filter((rule) -> rule.concerns(direction, text, before, length))
+			.filter((rule) -> rule.concerns(direction, text, chunk, before, chunk.length()))
 			.filter(FaultRule::hit)
 			.findFirst();
 	}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/OperatorClient.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/OperatorClient.java
@@ -68,6 +68,19 @@
 			.PUT(HttpRequest.BodyPublishers.ofString(yaml)));
 	}
 
+	/**
+	 * Returns the sum of the samples of a metric.
+	 * @param name the name of the metric
+	 * @return the sum over all labels; 0 if there is none
+	 */
+	public double metric(String name) {
+		return get("/metrics").body()
+			.lines()
+			.filter((line) -> line.startsWith(name + " ") || line.startsWith(name + "{"))
+			.mapToDouble((line) -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+			.sum();
+	}
+
 	/**
 	 * Returns whether the daemon is ready.
 	 * @return {@code true} if it says so
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteLauncher.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteLauncher.java
@@ -57,6 +57,7 @@
 		this.settings = settings;
 		this.addresses = new SiteAddresses(System.nanoTime() ^ (ProcessHandle.current().pid() << Integer.SIZE));
 		this.directory = temporaryDirectory();
+		this.closer.register(() -> FileUtilities.deleteDirectory(this.directory));
 	}
 
 	/**
