--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
@@ -150,7 +150,7 @@
 	private void registerPorts() {
 		this.services.register(ServiceNames.OPERATORS,
 				new OperatorServer(this.settings.operators(), this.settings.platform().store().prefix(), store(),
-						this.catalogue, peers(), this::readiness, new UpstreamRows(this.services), this.metrics,
+						this.catalogue, peers(), this::readiness, new UpstreamRows(controller()), this.metrics,
 						this.clock, random()));
 		this.services.register(ServiceNames.CALLERS, new CallerServer(this.settings, this.incarnation, this.catalogue,
 				controller(), claims(), this.clock, this.metrics));
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/UpstreamRows.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/UpstreamRows.java
@@ -1,49 +1,33 @@
 package org.cyclamenstall.internal.daemon;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 
-import org.cyclamenstall.hosts.HostList;
-import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.operators.UpstreamReport;
 import org.cyclamenstall.internal.operators.UpstreamRow;
-import org.cyclamenstall.kernel.ServiceRegistry;
-import org.cyclamenstall.lib.ServiceNames;
-import org.cyclamenstall.policy.DemandExchange;
+import org.cyclamenstall.internal.policy.PolicyTrafficController;
+import org.cyclamenstall.internal.policy.UpstreamUse;
 
 /**
- * Joins the platform's list of hosts with the requests in flight. Thread-safe.
+ * Shows the traffic controller's upstreams to operators. Thread-safe.
  */
 final class UpstreamRows implements UpstreamReport {
 
-	private final ServiceRegistry services;
+	private final PolicyTrafficController controller;
 
-	UpstreamRows(ServiceRegistry services) {
-		this.services = services;
+	UpstreamRows(PolicyTrafficController controller) {
+		this.controller = controller;
 	}
 
 	@Override
 	public List<UpstreamRow> rows() {
-		HostList hosts = this.services.find(ServiceNames.HOST_LIST, HostList.class);
-		Map<String, Integer> inFlight = this.services.find(ServiceNames.TRAFFIC, DemandExchange.class)
-			.localDemand()
-			.inFlightByUpstream();
-		return hosts.current()
-			.hostsByService()
-			.values()
-			.stream()
-			.flatMap(List::stream)
-			.sorted(Comparator.comparing(ListedHost::service).thenComparing(ListedHost::host))
-			.map((host) -> row(host, inFlight))
-			.toList();
+		return this.controller.upstreamUse().stream().map(UpstreamRows::row).toList();
 	}
 
-	private static UpstreamRow row(ListedHost host, Map<String, Integer> inFlight) {
-		String address = host.address() + ":" + host.port();
-		return new UpstreamRow(host.service(), host.host(), address, host.failureDomain(),
-				host.state().name().toLowerCase(Locale.ROOT), inFlight.getOrDefault(address, 0), 0, null);
+	private static UpstreamRow row(UpstreamUse use) {
+		return new UpstreamRow(use.host().service(), use.host().host(), use.host().address() + ":" + use.host().port(),
+				use.host().failureDomain(), use.condition().name().toLowerCase(Locale.ROOT), use.inFlight(),
+				use.window(), use.firstTokenSeconds());
 	}
 
 }
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RelayProgress.java
@@ -0,0 +1,74 @@
+package org.cyclamenstall.internal.gateway;
+
+import org.cyclamenstall.policy.Grant;
+import org.cyclamenstall.policy.RequestFacts;
+
+/**
+ * Counts what was relayed of one answer, over all its attempts. Used on the I/O thread of
+ * the exchange.
+ */
+final class RelayProgress {
+
+	private final RequestFacts facts;
+
+	private final GatewayServices services;
+
+	private long tokens;
+
+	private long lastTokenNanos;
+
+	private boolean started;
+
+	RelayProgress(RequestFacts facts, GatewayServices services) {
+		this.facts = facts;
+		this.services = services;
+	}
+
+	/**
+	 * Records that an attempt began to answer.
+	 * @param grant the grant of the attempt
+	 */
+	void answerStarted(Grant grant) {
+		grant.firstToken();
+		long now = this.services.clock().nanoTime();
+		if (!this.started) {
+			this.started = true;
+			this.services.metrics().firstToken(this.facts.tier(), now - this.facts.arrivalNanos());
+		}
+		this.lastTokenNanos = now;
+	}
+
+	/**
+	 * Records tokens of a stream.
+	 * @param grant the grant of the attempt
+	 * @param count how many
+	 */
+	void streamed(Grant grant, int count) {
+		long now = this.services.clock().nanoTime();
+		this.services.metrics().token(this.facts.tier(), now - this.lastTokenNanos);
+		this.lastTokenNanos = now;
+		this.tokens += count;
+		grant.tokens(count);
+	}
+
+	/**
+	 * Records the tokens of a whole answer.
+	 * @param grant the grant of the attempt
+	 * @param count how many
+	 */
+	void whole(Grant grant, long count) {
+		if (count > 0) {
+			this.tokens = count;
+			grant.tokens((int) count);
+		}
+	}
+
+	/**
+	 * Returns the tokens that the caller has.
+	 * @return the count
+	 */
+	long tokens() {
+		return this.tokens;
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
@@ -3,18 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
-import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.cyclamenstall.claims.Claim;
 import org.cyclamenstall.claims.ClaimDecision;
-import org.cyclamenstall.claims.ClaimRequest;
-import org.cyclamenstall.claims.StoredAnswer;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.ErrorTable;
 import org.cyclamenstall.errors.Outcome;
@@ -43,16 +37,10 @@
 
 	private static final Logger logger = LogManager.getLogger(RequestRun.class);
 
-	private static final Set<Integer> ENGINE_REFUSALS = Set.of(429, 503);
-
-	private static final Duration MAXIMUM_MODEL_ANSWER = Duration.ofMinutes(10);
-
 	private static final Duration MAXIMUM_CALLER_STALL = Duration.ofSeconds(30);
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
-	private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
-
 	private final HttpServerExchange exchange;
 
 	private final CallerRequest request;
@@ -65,6 +53,10 @@
 
 	private final UpstreamRequest upstreamRequest;
 
+	private final RequestClaim claim;
+
+	private final RelayProgress progress;
+
 	private final List<AttemptRun> outstanding = new ArrayList<>();
 
 	private final List<XnioExecutor.Key> timers = new ArrayList<>();
@@ -73,18 +65,12 @@
 
 	private @Nullable CallerWatch watch;
 
-	private @Nullable Claim claim;
-
 	private @Nullable AttemptRun winner;
 
 	private @Nullable CallerStream stream;
 
 	private XnioExecutor.@Nullable Key stallTimer;
 
-	private long relayedTokens;
-
-	private long lastTokenNanos;
-
 	private boolean mayHaveRun;
 
 	private boolean callerLeft;
@@ -98,7 +84,9 @@
 		this.request = request;
 		this.services = services;
 		this.thread = exchange.getIoThread();
-		this.upstreamRequest = upstreamRequest();
+		this.upstreamRequest = UpstreamRequests.of(request, services.policy());
+		this.claim = new RequestClaim(request, services.claims());
+		this.progress = new RelayProgress(request.facts(), services);
 	}
 
 	/**
@@ -124,9 +112,9 @@
 		if (hasEnded()) {
 			run.end(AttemptResult.NOT_SENT);
 		}
-		else if (this.request.needsClaim() && this.claim == null) {
+		else if (this.claim.isMissing()) {
 			this.services.blockingWork().execute(() -> {
-				ClaimDecision decision = decideClaim();
+				ClaimDecision decision = this.claim.decide();
 				this.thread.execute(() -> claimDecided(run, decision));
 			});
 		}
@@ -159,7 +147,7 @@
 			run.end(AttemptResult.NOT_SENT);
 			return false;
 		}
-		if (this.claim != null && !this.claim.beginSending()) {
+		if (!this.claim.beginSending()) {
 			run.end(AttemptResult.NOT_SENT);
 			fail(ErrorKind.CLAIM_EXPIRED, "the claim was older than its bound when it was to be sent");
 			return false;
@@ -181,7 +169,7 @@
 			return;
 		}
 		if (event.tokens() > 0) {
-			countTokens(run, event.tokens());
+			this.progress.streamed(run.grant(), event.tokens());
 		}
 		this.stream.event(event.data());
 		if (this.callerBlocked) {
@@ -202,14 +190,9 @@
 		if (!win(run)) {
 			return;
 		}
-		if (answer.tokens() > 0) {
-			this.relayedTokens = answer.tokens();
-			run.grant().tokens((int) answer.tokens());
-		}
+		this.progress.whole(run.grant(), answer.tokens());
 		run.end(AttemptResult.COMPLETED);
-		if (this.claim != null) {
-			this.claim.complete(stored(answer));
-		}
+		this.claim.complete(answer);
 		if (hasEnded()) {
 			return;
 		}
@@ -222,9 +205,7 @@
 	void attemptFailed(AttemptRun run, AttemptFailure failure, String detail) {
 		run.end(failure.attemptResult());
 		if (failure.provesNotRun()) {
-			if (this.claim != null) {
-				this.claim.provedNotRun();
-			}
+			this.claim.provedNotRun();
 		}
 		else {
 			this.mayHaveRun = true;
@@ -311,34 +292,16 @@
 		boolean mustGoOn = !this.request.facts().idempotent() && this.lifecycle.state() == RequestState.SENDING;
 		if (!mustGoOn) {
 			conclude(AttemptResult.CANCELLED);
-			giveUpClaim();
+			this.claim.giveUp(this.mayHaveRun);
 		}
 		this.exchange.endExchange();
 	}
 
-	private ClaimDecision decideClaim() {
-		try {
-			return this.services.claims().claim(claimRequest());
-		}
-		catch (RuntimeException ex) {
-			logger.warn("Claim of {} failed", this.request.id(), ex);
-			return new ClaimDecision.Refused(ErrorKind.INTERNAL, "the claim failed");
-		}
-	}
-
-	private ClaimRequest claimRequest() {
-		String key = this.request.idempotencyKey();
-		String bodyHash = DigestUtils.sha256Hex(
-				this.request.method() + " " + this.request.target() + " " + DigestUtils.sha256Hex(this.request.body()));
-		return new ClaimRequest(this.request.facts().account().name(), this.request.facts().entry().name(),
-				(key != null) ? key : "", bodyHash, this.request.id());
-	}
-
 	private void claimDecided(AttemptRun run, ClaimDecision decision) {
 		if (decision instanceof ClaimDecision.Granted granted) {
-			this.claim = granted.claim();
+			this.claim.take(granted.claim());
 			if (hasEnded()) {
-				giveUpClaim();
+				this.claim.giveUp(this.mayHaveRun);
 				run.end(AttemptResult.NOT_SENT);
 			}
 			else {
@@ -362,7 +325,7 @@
 	private void send(AttemptRun run) {
 		this.lifecycle.moveTo((this.stream != null) ? RequestState.ANSWERING : RequestState.CLAIMED);
 		UpstreamAttempt attempt = new UpstreamAttempt(this.upstreamRequest, run.grant().upstream(), this.request.id(),
-				run.grant().attempt(), resumable() ? this.relayedTokens : 0, this.services.connections(), this.thread,
+				run.grant().attempt(), resumable() ? this.progress.tokens() : 0, this.services.connections(), this.thread,
 				run);
 		scheduleHedge();
 		run.start(attempt);
@@ -392,26 +355,12 @@
 	private boolean win(AttemptRun run) {
 		if (this.winner == null) {
 			this.winner = run;
-			run.grant().firstToken();
-			long now = this.services.clock().nanoTime();
-			if (this.lastTokenNanos == 0) {
-				this.services.metrics()
-					.firstToken(this.request.facts().tier(), now - this.request.facts().arrivalNanos());
-			}
-			this.lastTokenNanos = now;
+			this.progress.answerStarted(run.grant());
 			endOthers(run, AttemptResult.HEDGE_LOST);
 		}
 		return this.winner == run;
 	}
 
-	private void countTokens(AttemptRun run, int tokens) {
-		long now = this.services.clock().nanoTime();
-		this.services.metrics().token(this.request.facts().tier(), now - this.lastTokenNanos);
-		this.lastTokenNanos = now;
-		this.relayedTokens += tokens;
-		run.grant().tokens(tokens);
-	}
-
 	private boolean mayRepeat() {
 		if (this.stream != null) {
 			return resumable();
@@ -454,7 +403,7 @@
 			return;
 		}
 		conclude(AttemptResult.CANCELLED);
-		Outcome outcome = giveUpClaim() ? ErrorTable.answerFor(kind).outcome() : Outcome.UNKNOWN;
+		Outcome outcome = this.claim.giveUp(this.mayHaveRun) ? ErrorTable.answerFor(kind).outcome() : Outcome.UNKNOWN;
 		this.services.metrics().failed(kind, outcome);
 		if (this.callerLeft) {
 			return;
@@ -467,20 +416,6 @@
 		}
 	}
 
-	/**
-	 * Settles the claim of a request that got no answer.
-	 * @return whether it is certain that the request did not run
-	 */
-	private boolean giveUpClaim() {
-		if (!this.mayHaveRun && (this.claim == null || this.claim.abandon())) {
-			return true;
-		}
-		if (this.claim != null) {
-			this.claim.outcomeUnknown();
-		}
-		return false;
-	}
-
 	private void answered() {
 		conclude(AttemptResult.CANCELLED);
 		this.services.metrics().answered(this.request.facts().tier(), this.request.facts().entry().name());
@@ -512,7 +447,7 @@
 	private void finishTicket() {
 		if (hasEnded() && this.outstanding.isEmpty() && !this.finished && this.ticket != null) {
 			this.finished = true;
-			this.ticket.finish(this.relayedTokens);
+			this.ticket.finish(this.progress.tokens());
 		}
 	}
 
@@ -531,25 +466,4 @@
 		}
 	}
 
-	private UpstreamRequest upstreamRequest() {
-		boolean model = this.request.facts().entry().model() != null;
-		Set<Integer> declared = this.request.facts().entry().notExecutedStatuses();
-		Set<Integer> refusals = model ? ENGINE_REFUSALS : ((declared != null) ? declared : Set.of());
-		Duration firstByte = Duration.ofMillis(this.services.policy().firstByteMillis());
-		Duration gap = Duration.ofMillis(this.services.policy().tokenGapMillis());
-		if (model && !this.request.facts().streamed()) {
-			firstByte = MAXIMUM_MODEL_ANSWER;
-		}
-		return new UpstreamRequest(this.request.method(), this.request.target(), this.request.headers(),
-				this.request.body(), model, this.request.facts().streamed(), this.request.facts().idempotent(),
-				refusals, new UpstreamRequest.Timeouts(Duration.ofMillis(this.services.policy().connectMillis()),
-						firstByte, gap));
-	}
-
-	private static StoredAnswer stored(WholeAnswer answer) {
-		String contentType = answer.headers().getFirst(Headers.CONTENT_TYPE);
-		return new StoredAnswer(answer.status(), (contentType != null) ? contentType : DEFAULT_CONTENT_TYPE,
-				answer.body());
-	}
-
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.internal.policy;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -497,6 +498,20 @@
 		}
 	}
 
+	/**
+	 * Describes every upstream; changes nothing.
+	 * @return the upstreams in order of service and host
+	 */
+	public List<UpstreamUse> upstreamUse() {
+		long nowNanos = this.clock.nanoTime();
+		return decide(() -> this.pools.values()
+			.stream()
+			.flatMap((pool) -> pool.upstreamUse(nowNanos))
+			.sorted(Comparator.comparing((UpstreamUse use) -> use.host().service())
+				.thenComparing((use) -> use.host().host()))
+			.toList());
+	}
+
 	void reportQueues(GaugeSink sink) {
 		decide(() -> {
 			this.pools.values().forEach((pool) -> {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.hosts.ListedHost;
@@ -26,6 +27,8 @@
  */
 final class ServicePool {
 
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	private static final long WITHOUT_LIVE_NANOS = 2_000_000_000L;
 
 	private final String service;
@@ -77,6 +80,23 @@
 		return this.upstreams;
 	}
 
+	Stream<UpstreamUse> upstreamUse(long nowNanos) {
+		return upstreams().stream().map((upstream) -> use(upstream, nowNanos));
+	}
+
+	private UpstreamUse use(Upstream upstream, long nowNanos) {
+		double averageNanos = upstream.firstTokenAverage().valueOr(0);
+		return new UpstreamUse(upstream.host(), condition(upstream, nowNanos), upstream.inFlight(),
+				slotRules().allowed(upstream), (averageNanos > 0) ? Double.valueOf(averageNanos / NANOS_PER_SECOND) : null);
+	}
+
+	private static UpstreamUse.Condition condition(Upstream upstream, long nowNanos) {
+		if (!upstream.isLive(nowNanos)) {
+			return UpstreamUse.Condition.CLOSED;
+		}
+		return upstream.health().isEjected(nowNanos) ? UpstreamUse.Condition.EJECTED : UpstreamUse.Condition.LIVE;
+	}
+
 	LatencyWindow usual() {
 		return this.usual;
 	}
