--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/AccountReport.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/AccountReport.java
@@ -11,11 +11,12 @@
  * @param name the account
  * @param sent the number of requests
  * @param admitted those that were not refused
+ * @param attained those with a whole answer whose first token met the target
  * @param busiestTenSeconds the most requests admitted in any ten seconds, by the intended
  * time of sending
  * @param limitOfTenSeconds what its limit of requests allows in ten seconds
  */
-record AccountReport(String name, long sent, long admitted, long busiestTenSeconds,
+record AccountReport(String name, long sent, long admitted, long attained, long busiestTenSeconds,
 		@Nullable Double limitOfTenSeconds) {
 
 	private static final long SPAN_NANOS = 10_000_000_000L;
@@ -29,7 +30,8 @@
 			.sorted()
 			.toArray();
 		Double perSecond = (limits != null) ? limits.requestsPerSecond() : null;
-		return new AccountReport(name, results.size(), times.length, busiest(times),
+		return new AccountReport(name, results.size(), times.length,
+				results.stream().filter(RequestResult::isAttained).count(), busiest(times),
 				(perSecond != null) ? perSecond * SPAN_SECONDS : null);
 	}
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ReportTable.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.standin.load;
 
 import java.io.PrintStream;
+import java.util.List;
 import java.util.Locale;
 
 import org.jspecify.annotations.Nullable;
@@ -35,8 +36,20 @@
 		report.accounts()
 			.stream()
 			.filter((account) -> account.limitOfTenSeconds() != null)
-			.forEach((account) -> line("  account %s: %d sent, %d admitted, busiest 10 s %d of %.0f", account.name(),
-					account.sent(), account.admitted(), account.busiestTenSeconds(), account.limitOfTenSeconds()));
+			.forEach((account) -> line("  account %s: %d sent, %d admitted, %d attained, busiest 10 s %d of %.0f",
+					account.name(), account.sent(), account.admitted(), account.attained(), account.busiestTenSeconds(),
+					account.limitOfTenSeconds()));
+		printOthers(report.accounts());
+	}
+
+	private void printOthers(List<AccountReport> accounts) {
+		List<AccountReport> others = accounts.stream()
+			.filter((account) -> account.limitOfTenSeconds() == null)
+			.toList();
+		long sent = others.stream().mapToLong(AccountReport::sent).sum();
+		long attained = others.stream().mapToLong(AccountReport::attained).sum();
+		line("  accounts without a limit: %d sent, %d attained (%s)", sent, attained,
+				percent((sent > 0) ? Double.valueOf((double) attained / sent) : null));
 	}
 
 	private void print(ClassReport report) {
