--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/ExchangeRounds.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/ExchangeRounds.java
@@ -32,7 +32,7 @@
 
 	private static final int EXCHANGE_THREADS = 32;
 
-	private static final long IDLE_THREAD_SECONDS = 10;
+	private static final long IDLE_THREAD_SECONDS = 2;
 
 	private static final long PUSH_PAUSE_MILLIS = 20;
 
@@ -140,7 +140,13 @@
 
 	private void begin(String host) {
 		if (this.busy.add(host)) {
-			this.workers.execute(() -> exchange(host));
+			try {
+				this.workers.execute(() -> exchange(host));
+			}
+			catch (RejectedExecutionException ex) {
+				this.busy.remove(host);
+				logger.debug("No exchange with peer {} after the end", host);
+			}
 		}
 	}
 
