Bound the head in bytes and the names that an operator sends

Sixteen changes of accounts with a thousand entries each made a head of more than the megabyte that the store takes in one value: its swap would have been refused for ever, and with it every edit. The head now leaves out its oldest changes, which are complete, above 256 KB; readers that miss them list everything.

--- a/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/OperatorClient.java
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/OperatorClient.java
@@ -91,7 +91,7 @@
 	JsonNode edit(String method, String path, String editId, byte[] body) {
 		Map<String, String> editHeaders = new HashMap<>(this.headers);
 		editHeaders.put("X-Edit-Id", editId);
-		editHeaders.put("X-Operator", System.getProperty("user.name", "unknown"));
+		editHeaders.put("X-Operator", encode(System.getProperty("user.name", "unknown")));
 		HttpCall call = new HttpCall(method, path, editHeaders, body, TIMEOUT);
 		boolean sent = false;
 		HttpAnswer answer = this.client.call(call);
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueEditTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/catalogue/CatalogueEditTests.java
@@ -3,11 +3,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import org.cyclamenstall.catalogue.CatalogueEntry;
 import org.cyclamenstall.catalogue.CatalogueRecord;
+import org.cyclamenstall.catalogue.EntryKind;
+import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.internal.catalogue.CatalogueChange;
 import org.cyclamenstall.internal.catalogue.CatalogueEditAnswer;
 import org.cyclamenstall.internal.catalogue.CatalogueEditCommand;
@@ -303,6 +308,31 @@
 
 	}
 
+	@Nested
+	class WhenEntriesAreLarge {
+
+		@Test
+		void theHeadStaysFarBelowTheLargestValueOfTheStore() {
+			for (int number = 0; number < 6; number++) {
+				CatalogueEditTests.this.first.put("edit-" + number, largeAccount(number));
+			}
+			for (StoreRecord record : CatalogueEditTests.this.store.snapshot()) {
+				assertThat(record.value().length, is(lessThanOrEqualTo(262_144)));
+			}
+			CatalogueEditTests.this.second.put("edit-6", CatalogueHost.service("orders", "ion"));
+			assertThat(CatalogueEditTests.this.second.replica.recordsAfter(0).size(), is(7));
+		}
+
+		private CatalogueEntry largeAccount(int number) {
+			Set<String> entries = IntStream.range(0, 1_024)
+				.mapToObj((index) -> "an-entry-with-a-long-name-that-fills-the-head-of-the-list-%06d".formatted(index))
+				.collect(Collectors.toSet());
+			return new CatalogueEntry("account-" + number, EntryKind.ACCOUNT, "ion", Tier.BULK, null, null, null, null,
+					null, null, null, null, null, null, List.of("%064d".formatted(number)), entries);
+		}
+
+	}
+
 	@Nested
 	class WhenNothingFails {
 
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/operators/CommandLineTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/operators/CommandLineTests.java
@@ -157,6 +157,13 @@
 			assertThat(put(ORDERS, "--edit-id", "edit-7").output(), containsString("accepted at revision 2"));
 		}
 
+		@Test
+		void anEditIdentifierThatIsTooLongIsRefused() throws IOException {
+			OperatorFixture.Run run = put(ORDERS, "--edit-id", "x".repeat(129));
+			assertThat(run.code(), is(3));
+			assertThat(run.errors(), containsString("X-Edit-Id"));
+		}
+
 		@Test
 		void aStoreThatIsDownIsNamed() throws IOException {
 			CommandLineTests.this.daemon.store.setFault(StoreFault.UNAVAILABLE);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueHead.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueHead.java
@@ -44,6 +44,11 @@
 				next.subList(Math.max(0, next.size() - MAXIMUM_CHANGES), next.size()));
 	}
 
+	CatalogueHead withoutOldestHalf() {
+		List<CatalogueChange> latest = this.changes.subList(this.changes.size() / 2, this.changes.size());
+		return new CatalogueHead(this.revision, this.completedRevision, latest);
+	}
+
 	/**
 	 * Returns the edits whose entries may not be written yet.
 	 * @return the changes in order of revision
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/StoredCatalogue.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/StoredCatalogue.java
@@ -33,6 +33,8 @@
 
 	private static final Logger logger = LogManager.getLogger(StoredCatalogue.class);
 
+	private static final int MAXIMUM_HEAD_BYTES = 262_144;
+
 	private final ObjectMapper mapper = JsonMapper.builder()
 		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
 		.build();
@@ -113,13 +115,20 @@
 	}
 
 	/**
-	 * Writes the head if it is unchanged.
+	 * Writes the head if it is unchanged. Its oldest changes, which are complete, are
+	 * left out while its value would be too large.
 	 * @param head the new head
 	 * @param version the version that was read, or 0 if there was none
 	 * @return what became of the write
 	 */
 	public WriteResult writeHead(CatalogueHead head, long version) {
-		return write(this.headKey, head, version);
+		CatalogueHead fitting = head;
+		byte[] bytes = encode(fitting);
+		while (bytes.length > MAXIMUM_HEAD_BYTES && fitting.changes().size() > 1) {
+			fitting = fitting.withoutOldestHalf();
+			bytes = encode(fitting);
+		}
+		return write(this.headKey, bytes, version);
 	}
 
 	/**
@@ -129,7 +138,7 @@
 	 * @return what became of the write
 	 */
 	public WriteResult writeEntry(StoredEntry entry, long version) {
-		return write(this.entriesPrefix + entry.record().name(), entry, version);
+		return write(this.entriesPrefix + entry.record().name(), encode(entry), version);
 	}
 
 	/**
@@ -159,8 +168,7 @@
 		return incomplete.stream().allMatch((change) -> complete(change.record()));
 	}
 
-	private WriteResult write(String key, Object value, long version) {
-		byte[] bytes = encode(value);
+	private WriteResult write(String key, byte[] bytes, long version) {
 		return (version == 0) ? this.store.createIfAbsent(key, bytes, StorePriority.CATALOGUE)
 				: this.store.compareAndSwap(key, bytes, version, StorePriority.CATALOGUE);
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/operators/OperatorServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/operators/OperatorServer.java
@@ -66,6 +66,8 @@
 
 	private static final long DEFAULT_WAIT_MILLIS = 5_000;
 
+	private static final int MAXIMUM_NAME_LENGTH = 128;
+
 	private static final HttpString EDIT_ID = new HttpString("X-Edit-Id");
 
 	private static final HttpString OPERATOR = new HttpString("X-Operator");
@@ -238,13 +240,21 @@
 	}
 
 	private EditParameters editParameters(HttpServerExchange exchange) {
-		String operator = exchange.getRequestHeaders().getFirst(OPERATOR);
+		String operator = shortHeader(exchange, OPERATOR);
 		String expected = query(exchange, "expected-revision");
-		return new EditParameters(exchange.getRequestHeaders().getFirst(EDIT_ID),
-				(operator != null) ? operator : "unknown",
+		return new EditParameters(shortHeader(exchange, EDIT_ID), (operator != null) ? operator : "unknown",
 				(expected != null) ? Long.valueOf(number("expected-revision", expected)) : null, waitOf(exchange));
 	}
 
+	private static @Nullable String shortHeader(HttpServerExchange exchange, HttpString name) {
+		String value = exchange.getRequestHeaders().getFirst(name);
+		if (value != null && (value.isBlank() || value.length() > MAXIMUM_NAME_LENGTH)) {
+			throw new OperatorFailure(ErrorKind.MALFORMED_REQUEST,
+					name + " must have 1 to " + MAXIMUM_NAME_LENGTH + " characters");
+		}
+		return value;
+	}
+
 	private static Duration waitOf(HttpServerExchange exchange) {
 		String wait = query(exchange, "wait-millis");
 		long millis = (wait != null) ? number("wait-millis", wait) : DEFAULT_WAIT_MILLIS;
