--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/operators/OperatorTokenTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/operators/OperatorTokenTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.cyclamenstall.errors.ErrorKind;
@@ -34,7 +35,7 @@
 		PrometheusRegistry metrics = new PrometheusRegistry();
 		try (OperatorServer server = new OperatorServer(new OperatorSettings(address, 0, tokenFile), "test",
 				new InMemoryConfigurationStore(), new LocalCatalogue(metrics), new StaticMembership("host-1"),
-				() -> new Readiness(true, ""), java.util.List::of, metrics, MonotonicClock.SYSTEM, () -> 0)) {
+				() -> new Readiness(true, ""), List::of, metrics, MonotonicClock.SYSTEM, () -> 0)) {
 			server.start();
 			return null;
 		}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/yaml/CheckedYamlReaderTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/yaml/CheckedYamlReaderTests.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.test.yaml;
 
 import java.util.List;
+import java.util.regex.Pattern;
 
 import org.cyclamenstall.catalogue.CatalogueEntry;
 import org.cyclamenstall.errors.ErrorKind;
@@ -101,7 +102,7 @@
 						'  port: 0'            | '  port: 0: 1'         | s.yaml:5:                      | mapping values
 						""")
 		void theFaultNamesFileLineFieldAndWhatIsAllowed(String right, String wrong, String place, String allowed) {
-			String text = SETTINGS.replaceFirst(java.util.regex.Pattern.quote(right), wrong);
+			String text = SETTINGS.replaceFirst(Pattern.quote(right), wrong);
 			assertThat(faultOfSettings(text), allOf(startsWith(place), containsString(allowed)));
 		}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/CatalogueWatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -242,7 +243,7 @@
 		return heard.stream().anyMatch((member) -> member.catalogueRevision() > revision);
 	}
 
-	private <T> T counted(String form, java.util.function.Supplier<T> read) {
+	private <T> T counted(String form, Supplier<T> read) {
 		try {
 			T result = read.get();
 			this.reads.labelValues(form, "answered").inc();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/LocalCatalogue.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/catalogue/LocalCatalogue.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -137,8 +138,7 @@
 		}
 	}
 
-	private static void gauge(PrometheusRegistry metrics, String name, String help,
-			java.util.function.DoubleSupplier value) {
+	private static void gauge(PrometheusRegistry metrics, String name, String help, DoubleSupplier value) {
 		GaugeWithCallback.builder()
 			.name(name)
 			.help(help)
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
 
@@ -201,8 +202,7 @@
 
 	}
 
-	private record Callback<T>(java.util.function.Consumer<T> onCompleted,
-			CallProgress progress) implements ClientCallback<T> {
+	private record Callback<T>(Consumer<T> onCompleted, CallProgress progress) implements ClientCallback<T> {
 
 		@Override
 		public void completed(T result) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/operators/CatalogueResource.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/operators/CatalogueResource.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenstall.catalogue.Catalogue;
@@ -110,8 +111,7 @@
 		return this.inForceReport.await(revision, wait);
 	}
 
-	private CatalogueEditAnswer edit(EditParameters parameters,
-			java.util.function.Consumer<CatalogueEditCommand> target) {
+	private CatalogueEditAnswer edit(EditParameters parameters, Consumer<CatalogueEditCommand> target) {
 		String editId = (parameters.editId() != null) ? parameters.editId() : UUID.randomUUID().toString();
 		CatalogueEditCommand command = new CatalogueEditCommand(this.stored, this.replica, this.membership, this.clock,
 				this.random)
