Hear a host again whose clock was set back

An older incarnation is refused, and a listed or seeded host was never forgotten, so one restart with a clock in the past shut it out for good. The new test failed first (older-incarnation after 11 minutes of silence). After 10 minutes of silence the incarnation of such a host is now forgotten; taking any lower incarnation at once was ruled out, since a paused former self would pass as well. A first try also forgot that the host had left, which made it count as cut off when limits are divided (second test failed first); that mark now stays.

'MemberTableTests,Peer*Tests': 38 tests pass.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/MemberTableTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/MemberTableTests.java
@@ -118,6 +118,19 @@
 			assertThat(MemberTableTests.this.table.incarnation("gara-2"), is(7L));
 		}
 
+		@Test
+		void aClockThatWasSetBackIsAcceptedAfterALongSilence() {
+			MemberTableTests.this.table.seed("gara-2", ENDPOINT);
+			hear("gara-2", 7);
+			fail("gara-2", 2);
+			MemberTableTests.this.clock.advance(Duration.ofMinutes(9));
+			MemberTableTests.this.table.forgetSilent();
+			assertThat(hear("gara-2", 5), is(ContactResult.OLDER_INCARNATION));
+			MemberTableTests.this.clock.advance(Duration.ofMinutes(2));
+			MemberTableTests.this.table.forgetSilent();
+			assertThat(hear("gara-2", 5), is(ContactResult.NEW));
+		}
+
 		@Test
 		void itIsNoLongerLeaving() {
 			MemberTableTests.this.table.heard(identity("gara-2", 5), true, 9);
@@ -166,6 +179,21 @@
 			assertThat(MemberTableTests.this.table.liveHosts(), containsInAnyOrder("gara-1", "gara-2"));
 		}
 
+		@Test
+		void leaveOutThoseThatLeftAlsoWhenTheyAreForgotten() {
+			for (int number = 2; number <= 5; number++) {
+				MemberTableTests.this.table.seed("gara-" + number, ENDPOINT);
+			}
+			hearFour();
+			for (String host : List.of("gara-2", "gara-3", "gara-4")) {
+				MemberTableTests.this.table.heard(identity(host, 1), true, 0);
+				fail(host, 2);
+			}
+			MemberTableTests.this.clock.advance(Duration.ofMinutes(11));
+			MemberTableTests.this.table.forgetSilent();
+			assertThat(MemberTableTests.this.table.liveHosts(), containsInAnyOrder("gara-1", "gara-5"));
+		}
+
 		@Test
 		void leaveOutTheLeaving() {
 			hearFour();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/MemberTable.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/MemberTable.java
@@ -211,14 +211,22 @@
 	}
 
 	/**
-	 * Forgets the daemons that were silent for long and are neither listed nor seeded.
-	 * @return the names of their hosts
+	 * Forgets the daemons that were silent for long. Of one that is listed or seeded the
+	 * endpoints stay and only the incarnation is forgotten, so that a host whose clock
+	 * was set back is heard again.
+	 * @return the names of the hosts that are no longer known
 	 */
 	public synchronized List<String> forgetSilent() {
 		long now = this.clock.nanoTime();
 		List<String> forgotten = new ArrayList<>();
 		for (PeerRecord record : List.copyOf(this.records.values())) {
-			if (isForgettable(record, now)) {
+			if (!isLongSilent(record, now)) {
+				continue;
+			}
+			if (record.isListedOrSeeded()) {
+				record.forgetIdentity();
+			}
+			else {
 				this.records.remove(record.host());
 				forgotten.add(record.host());
 			}
@@ -226,8 +234,8 @@
 		return forgotten;
 	}
 
-	private static boolean isForgettable(PeerRecord record, long now) {
-		if (record.isListedOrSeeded() || record.answersNow()) {
+	private static boolean isLongSilent(PeerRecord record, long now) {
+		if (record.answersNow()) {
 			return false;
 		}
 		long bound = (record.state() == MemberState.LEAVING) ? FORGET_LEAVING_NANOS : FORGET_SUSPECT_NANOS;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerRecord.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/PeerRecord.java
@@ -58,6 +58,12 @@
 		setEndpoint(EndpointSource.REPORTED, identity.endpoint());
 	}
 
+	void forgetIdentity() {
+		this.identity = null;
+		this.catalogueRevision = 0;
+		setEndpoint(EndpointSource.REPORTED, null);
+	}
+
 	void setEndpoint(EndpointSource source, @Nullable PeerEndpoint endpoint) {
 		if (endpoint != null) {
 			this.endpoints.put(source, endpoint);
