Keep the top tier away from engines that others may have filled

Cause, seen in a trace of the crest with 5 daemons: 109 of 127 late first tokens had waited less than 0.2 s in the daemon and then behind full slots in an engine, which the peers' counts of up to a second ago showed as free.

Change: beyond its own part a daemon sends top-tier work only to an upstream that shows more than two free slots; otherwise the request waits and a stream of a lower tier gives up its slot, which is then known to be free. The top tier's demand is reported as its recent peak plus its square root, so that a daemon with little traffic keeps slots for the next second.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
@@ -201,9 +201,18 @@
 		return this.inFlight.getOrDefault(tier, 0);
 	}
 
+	private double wanted(Tier tier) {
+		int now = inFlight(tier) + this.queue.size(tier);
+		if (tier != Tier.INTERACTIVE) {
+			return now;
+		}
+		double peak = this.slotRules.peak(tier);
+		return peak + Math.sqrt(peak);
+	}
+
 	void addDemand(DemandCollector collector) {
 		for (Tier tier : Tier.values()) {
-			collector.limit(this.slotRules.limitName(tier), inFlight(tier) + this.queue.size(tier));
+			collector.limit(this.slotRules.limitName(tier), wanted(tier));
 		}
 		collector.limit(this.slotRules.agedLimitName(),
 				this.queue.size() - this.queue.size(Tier.INTERACTIVE) + this.slotRules.agedInFlight());
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/SlotRules.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/SlotRules.java
@@ -26,6 +26,8 @@
 
 	private static final double AGED_PART = 0.05;
 
+	private static final int SPARE_SLOTS = 2;
+
 	private static final double ROUNDING = 0.5;
 
 	private final String service;
@@ -70,6 +72,10 @@
 		return "slots/" + this.service + "/" + tier.label();
 	}
 
+	double peak(Tier tier) {
+		return this.peak[tier.ordinal()];
+	}
+
 	int agedInFlight() {
 		return this.agedInFlight;
 	}
@@ -157,7 +163,7 @@
 	int allowed(Upstream upstream, Tier tier) {
 		int window = upstream.windowSize();
 		if (tier.ordinal() == 0 && this.tiers) {
-			return hasFreeSlot(upstream) ? window : Math.min(window, allowed(upstream));
+			return hasFreeSlots(upstream, SPARE_SLOTS) ? window : Math.min(window, allowed(upstream));
 		}
 		return allowed(upstream);
 	}
@@ -168,12 +174,12 @@
 			return window;
 		}
 		int base = (int) (upstream.slots() * this.fraction);
-		int more = hasFreeSlot(upstream) ? 1 : 0;
+		int more = hasFreeSlots(upstream, 0) ? 1 : 0;
 		return Math.max(1, Math.min(window, base + more));
 	}
 
-	private static boolean hasFreeSlot(Upstream upstream) {
-		return upstream.inFlight() + upstream.peersInFlight() < upstream.slots();
+	private static boolean hasFreeSlots(Upstream upstream, int spare) {
+		return upstream.inFlight() + upstream.peersInFlight() + spare < upstream.slots();
 	}
 
 	private int lowerPart(int slots, Tier tier) {
