--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyMetrics.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyMetrics.java
@@ -59,19 +59,19 @@
 			.name("cyclamenstall_queue_length")
 			.help("Waiting requests")
 			.labelNames("upstreams", "class")
-			.callback((callback) -> controller.reportQueues(callback::call))
+			.callback((callback) -> controller.read((pools) -> pools.reportQueues(callback::call)))
 			.register(registry);
 		GaugeWithCallback.builder()
 			.name("cyclamenstall_upstream_in_flight")
 			.help("Requests of this daemon that run at the upstream")
 			.labelNames("upstream")
-			.callback((callback) -> controller.reportInFlight(callback::call))
+			.callback((callback) -> controller.read((pools) -> pools.reportInFlight(callback::call)))
 			.register(registry);
 		GaugeWithCallback.builder()
 			.name("cyclamenstall_upstream_window")
 			.help("Requests that this daemon may run at the upstream")
 			.labelNames("upstream")
-			.callback((callback) -> controller.reportWindows(callback::call))
+			.callback((callback) -> controller.read((pools) -> pools.reportWindows(callback::call)))
 			.register(registry);
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
@@ -1,20 +1,18 @@
 package org.cyclamenstall.internal.policy;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.cyclamenstall.catalogue.CatalogueEntry;
 import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.hosts.HostList;
@@ -52,8 +50,6 @@
 
 	private final Outbox outbox = new Outbox();
 
-	private final Map<String, ServicePool> pools = new HashMap<>();
-
 	private final TimedRequests deadlines = new TimedRequests();
 
 	private final TimedRequests delayed = new TimedRequests();
@@ -64,11 +60,9 @@
 
 	private final PolicySet policies;
 
-	private final HostList hosts;
-
 	private final MonotonicClock clock;
 
-	private final LimitShare share;
+	private final PoolRegistry pools;
 
 	private final LimitBook limits;
 
@@ -82,8 +76,6 @@
 
 	private @Nullable ScheduledExecutorService timer;
 
-	private HostSnapshot snapshot = HostSnapshot.EMPTY;
-
 	private boolean draining;
 
 	private int unfinished;
@@ -93,10 +85,10 @@
 	PolicyTrafficController(PolicySet policies, HostList hosts, MonotonicClock clock, PolicyMetrics metrics,
 			DecisionLog log) {
 		this.policies = policies;
-		this.hosts = hosts;
 		this.clock = clock;
-		this.share = policies.newLimitShare();
-		this.limits = new LimitBook(this.share, this.peers);
+		LimitShare share = policies.newLimitShare();
+		this.pools = new PoolRegistry(policies, hosts, share, this.peers);
+		this.limits = new LimitBook(share, this.peers);
 		this.admission = new Admission(this.limits, this.estimate, policies.settings().queueLength());
 		this.recorder = new DecisionRecorder(metrics, log);
 		this.dispatcher = new Dispatcher(this, policies, this.recorder, this.outbox);
@@ -143,14 +135,14 @@
 				this.refreshedAtNanos = nowNanos;
 				refresh(nowNanos);
 			}
-			this.pools.values().forEach((pool) -> this.dispatcher.dispatch(pool, nowNanos));
+			this.pools.all().forEach((pool) -> this.dispatcher.dispatch(pool, nowNanos));
 			return null;
 		});
 	}
 
 	private void refresh(long nowNanos) {
 		this.peers.expire(nowNanos);
-		for (ServicePool pool : this.pools.values()) {
+		for (ServicePool pool : this.pools.all()) {
 			pool.refresh(nowNanos);
 			if (pool.isWithoutLive(nowNanos)) {
 				pool.queue().all().forEach((ticket) -> refuseWaiting(ticket, ErrorKind.NO_LIVE_UPSTREAM, nowNanos));
@@ -196,7 +188,7 @@
 		}
 		RequestFacts facts = ticket.facts();
 		String service = facts.entry().upstreams();
-		ServicePool pool = (service != null) ? poolOf(service, nowNanos) : null;
+		ServicePool pool = (service != null) ? this.pools.of(service, nowNanos) : null;
 		if (pool == null || !pool.hasLive(nowNanos)) {
 			return ErrorKind.NO_LIVE_UPSTREAM;
 		}
@@ -443,7 +435,7 @@
 		return decide(() -> {
 			DemandCollector collector = new DemandCollector();
 			this.limits.addDemand(collector.demandByLimit(), this.clock.nanoTime());
-			this.pools.values().forEach((pool) -> pool.addDemand(collector));
+			this.pools.all().forEach((pool) -> pool.addDemand(collector));
 			DemandReport report = collector.report();
 			this.peers.sent(report);
 			return report;
@@ -469,59 +461,15 @@
 	void hostsChanged(HostSnapshot newer) {
 		decide(() -> {
 			long nowNanos = this.clock.nanoTime();
-			this.snapshot = newer;
-			for (ServicePool pool : this.pools.values()) {
-				pool.listed(newer.hosts(pool.service()));
-				pool.refresh(nowNanos);
-				this.dispatcher.dispatch(pool, nowNanos);
-			}
-			return null;
-		});
-	}
-
-	private ServicePool poolOf(String service, long nowNanos) {
-		ServicePool pool = this.pools.get(service);
-		if (pool == null) {
-			pool = new ServicePool(service, this.policies, this.share, this.peers);
-			pool.listed(this.snapshot.hosts(service));
-			pool.refresh(nowNanos);
-			this.pools.put(service, pool);
-			this.hosts.watch(service);
-		}
-		return pool;
-	}
-
-	void watch(CatalogueEntry entry) {
-		if (entry.upstreams() != null) {
-			this.hosts.watch(entry.upstreams());
-		}
-	}
-
-	void reportQueues(GaugeSink sink) {
-		decide(() -> {
-			this.pools.values().forEach((pool) -> {
-				for (Tier tier : Tier.values()) {
-					sink.accept(pool.queue().size(tier), pool.service(), tier.label());
-				}
-			});
-			return null;
-		});
-	}
-
-	void reportInFlight(GaugeSink sink) {
-		decide(() -> {
-			this.pools.values()
-				.forEach((pool) -> pool.upstreams()
-					.forEach((upstream) -> sink.accept(upstream.inFlight(), upstream.host().host())));
+			this.pools.listed(newer, nowNanos);
+			this.pools.all().forEach((pool) -> this.dispatcher.dispatch(pool, nowNanos));
 			return null;
 		});
 	}
 
-	void reportWindows(GaugeSink sink) {
+	void read(Consumer<PoolRegistry> reader) {
 		decide(() -> {
-			this.pools.values()
-				.forEach((pool) -> pool.upstreams()
-					.forEach((upstream) -> sink.accept(pool.slotRules().allowed(upstream), upstream.host().host())));
+			reader.accept(this.pools);
 			return null;
 		});
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/TrafficControllers.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/TrafficControllers.java
@@ -1,10 +1,11 @@
 package org.cyclamenstall.internal.policy;
 
-import java.util.Objects;
+import java.util.Optional;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenstall.catalogue.Catalogue;
+import org.cyclamenstall.catalogue.CatalogueRecord;
 import org.cyclamenstall.catalogue.CatalogueView;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.kernel.MonotonicClock;
@@ -55,17 +56,18 @@
 		policyMetrics.registerGauges(metrics, controller);
 		controller.hostsChanged(hosts.current());
 		hosts.addListener(controller::hostsChanged);
-		watchServices(catalogue.current(), controller);
-		catalogue.addListener((newer) -> watchServices(newer, controller));
+		watchServices(catalogue.current(), hosts);
+		catalogue.addListener((newer) -> watchServices(newer, hosts));
 		return controller;
 	}
 
-	private static void watchServices(Catalogue catalogue, PolicyTrafficController controller) {
+	private static void watchServices(Catalogue catalogue, HostList hosts) {
 		catalogue.records()
 			.stream()
-			.map((record) -> record.entry())
-			.filter(Objects::nonNull)
-			.forEach(controller::watch);
+			.map(CatalogueRecord::entry)
+			.flatMap((entry) -> Optional.ofNullable(entry).stream())
+			.flatMap((entry) -> Optional.ofNullable(entry.upstreams()).stream())
+			.forEach(hosts::watch);
 	}
 
 }
