--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
@@ -325,8 +325,8 @@
 	private void send(AttemptRun run) {
 		this.lifecycle.moveTo((this.stream != null) ? RequestState.ANSWERING : RequestState.CLAIMED);
 		UpstreamAttempt attempt = new UpstreamAttempt(this.upstreamRequest, run.grant().upstream(), this.request.id(),
-				run.grant().attempt(), resumable() ? this.progress.tokens() : 0, this.services.connections(), this.thread,
-				run);
+				run.grant().attempt(), resumable() ? this.progress.tokens() : 0, this.services.connections(),
+				this.thread, run);
 		scheduleHedge();
 		run.start(attempt);
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.internal.policy;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -22,8 +23,9 @@
 
 /**
  * Holds the upstreams of one service, the requests that wait for them and the grants that
- * run. An upstream that left the list stays known to its grants only. Not thread-safe:
- * the controller's lock guards it.
+ * run. A tier that found no slot is not looked at again until a grant ends or the next
+ * refresh. An upstream that left the list stays known to its grants only. Not
+ * thread-safe: the controller's lock guards it.
  */
 final class ServicePool {
 
@@ -51,10 +53,14 @@
 
 	private final Set<PolicyGrant> running = new LinkedHashSet<>();
 
+	private final Set<PolicyGrant> preemptible = new LinkedHashSet<>();
+
 	private final Map<Tier, Integer> inFlight = new EnumMap<>(Tier.class);
 
 	private List<Upstream> upstreams = List.of();
 
+	private final boolean[] full = new boolean[Tier.values().length];
+
 	private int preempting;
 
 	private long lostAllAtNanos;
@@ -87,7 +93,8 @@
 	private UpstreamUse use(Upstream upstream, long nowNanos) {
 		double averageNanos = upstream.firstTokenAverage().valueOr(0);
 		return new UpstreamUse(upstream.host(), condition(upstream, nowNanos), upstream.inFlight(),
-				slotRules().allowed(upstream), (averageNanos > 0) ? Double.valueOf(averageNanos / NANOS_PER_SECOND) : null);
+				slotRules().allowed(upstream),
+				(averageNanos > 0) ? Double.valueOf(averageNanos / NANOS_PER_SECOND) : null);
 	}
 
 	private static UpstreamUse.Condition condition(Upstream upstream, long nowNanos) {
@@ -157,6 +164,18 @@
 		if (!this.slotRules.hasRoom(ticket.tier(), aged)) {
 			return null;
 		}
+		boolean selective = !ticket.tried().isEmpty();
+		if (this.full[ticket.tier().ordinal()] && !selective && !aged) {
+			return null;
+		}
+		Upstream found = choose(ticket, aged, nowNanos);
+		if (found == null && !selective && !aged) {
+			this.full[ticket.tier().ordinal()] = true;
+		}
+		return found;
+	}
+
+	private @Nullable Upstream choose(PolicyTicket ticket, boolean aged, long nowNanos) {
 		boolean avoidTried = !ticket.tried().isEmpty() && hasOtherLive(ticket, nowNanos);
 		return this.choice.choose(
 				this.upstreams, (upstream) -> !(avoidTried && ticket.tried().contains(upstream))
@@ -167,6 +186,9 @@
 	void started(PolicyGrant grant, long nowNanos) {
 		Tier tier = grant.ticket().tier();
 		this.running.add(grant);
+		if (PreemptionRule.isPreemptible(grant.ticket())) {
+			this.preemptible.add(grant);
+		}
 		this.inFlight.merge(tier, 1, Integer::sum);
 		this.slotRules.started(tier, grant.isAged());
 		grant.upstreamState().started(grant, tier, grant.isTimed(), nowNanos);
@@ -182,7 +204,9 @@
 
 	void ended(PolicyGrant grant, AttemptResult result, long nowNanos) {
 		Tier tier = grant.ticket().tier();
+		Arrays.fill(this.full, false);
 		this.running.remove(grant);
+		this.preemptible.remove(grant);
 		this.preempting -= grant.isPreempting() ? 1 : 0;
 		this.inFlight.merge(tier, -1, Integer::sum);
 		this.slotRules.ended(tier, grant.isAged());
@@ -209,7 +233,12 @@
 		}
 	}
 
-	void preemptingStarted() {
+	Set<PolicyGrant> preemptible() {
+		return this.preemptible;
+	}
+
+	void preemptingStarted(PolicyGrant grant) {
+		this.preemptible.remove(grant);
 		this.preempting++;
 	}
 
@@ -221,9 +250,18 @@
 		return this.inFlight.getOrDefault(tier, 0);
 	}
 
+	private double wanted(Tier tier) {
+		int now = inFlight(tier) + this.queue.size(tier);
+		if (tier != Tier.INTERACTIVE) {
+			return now;
+		}
+		double peak = this.slotRules.peak(tier);
+		return peak + Math.sqrt(peak);
+	}
+
 	void addDemand(DemandCollector collector) {
 		for (Tier tier : Tier.values()) {
-			collector.limit(this.slotRules.limitName(tier), inFlight(tier) + this.queue.size(tier));
+			collector.limit(this.slotRules.limitName(tier), wanted(tier));
 		}
 		collector.limit(this.slotRules.agedLimitName(),
 				this.queue.size() - this.queue.size(Tier.INTERACTIVE) + this.slotRules.agedInFlight());
@@ -250,6 +288,7 @@
 		for (Upstream upstream : this.upstreams) {
 			upstream.peersInFlight(this.peers.inFlight(upstream.key()));
 		}
+		Arrays.fill(this.full, false);
 		demandChanged(nowNanos);
 		this.slotRules.refresh(this.upstreams, nowNanos);
 		if (this.policies.expectedLatency()) {
