Do not look for a slot again until one may be free

Cause: with all slots in use each arrival looked through all upstreams for eight heads of each tier, and each dispatch through all running streams.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/Dispatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/Dispatcher.java
@@ -83,7 +83,7 @@
 		for (Tier waiting : TIERS) {
 			int wanted = pool.queue().size(waiting) - pool.preempting();
 			for (int count = 0; count < wanted; count++) {
-				PolicyGrant victim = this.preemption.victim(pool.running(), waiting, nowNanos);
+				PolicyGrant victim = this.preemption.victim(pool.preemptible(), waiting, nowNanos);
 				if (victim == null) {
 					return;
 				}
@@ -95,7 +95,7 @@
 	private void yieldExcess(ServicePool pool, long nowNanos) {
 		int excess = pool.running().size() - pool.slotRules().capacity() - pool.preempting();
 		for (int count = 0; count < excess; count++) {
-			PolicyGrant victim = this.preemption.victim(pool.running(), Tier.INTERACTIVE, nowNanos);
+			PolicyGrant victim = this.preemption.victim(pool.preemptible(), Tier.INTERACTIVE, nowNanos);
 			if (victim == null) {
 				return;
 			}
@@ -105,7 +105,7 @@
 
 	private void take(PolicyGrant victim, Tier waiting, long nowNanos) {
 		victim.startPreempting();
-		victim.ticket().pool().preemptingStarted();
+		victim.ticket().pool().preemptingStarted(victim);
 		victim.ticket().countPreemption();
 		this.recorder.preempted(victim, waiting, victim.ticket().tier(), nowNanos);
 		this.outbox.add(() -> victim.listener().preempt());
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PreemptionRule.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PreemptionRule.java
@@ -19,9 +19,9 @@
 
 	private static final long LEAST_TOKENS = 1;
 
-	@Nullable PolicyGrant victim(Set<PolicyGrant> running, Tier waiting, long nowNanos) {
+	@Nullable PolicyGrant victim(Set<PolicyGrant> preemptible, Tier waiting, long nowNanos) {
 		PolicyGrant victim = null;
-		for (PolicyGrant grant : running) {
+		for (PolicyGrant grant : preemptible) {
 			if (waiting.isAbove(grant.ticket().tier()) && isEligible(grant, nowNanos)
 					&& (victim == null || isBetter(grant, victim))) {
 				victim = grant;
@@ -37,11 +37,14 @@
 		return order > 0 || (order == 0 && grant.produced() > victim.produced());
 	}
 
+	static boolean isPreemptible(PolicyTicket ticket) {
+		return ticket.tier() != Tier.INTERACTIVE && ticket.facts().streamed()
+				&& Boolean.TRUE.equals(ticket.facts().entry().resumable())
+				&& ticket.preemptions() < LARGEST_PREEMPTIONS;
+	}
+
 	private static boolean isEligible(PolicyGrant grant, long nowNanos) {
-		PolicyTicket ticket = grant.ticket();
-		return !grant.isPreempting() && !isProtected(grant, nowNanos) && ticket.facts().streamed()
-				&& Boolean.TRUE.equals(ticket.facts().entry().resumable()) && ticket.preemptions() < LARGEST_PREEMPTIONS
-				&& grant.produced() >= LEAST_TOKENS;
+		return !isProtected(grant, nowNanos) && grant.produced() >= LEAST_TOKENS;
 	}
 
 	private static boolean isProtected(PolicyGrant grant, long nowNanos) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.internal.policy;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -21,8 +22,9 @@
 
 /**
  * Holds the upstreams of one service, the requests that wait for them and the grants that
- * run. An upstream that left the list stays known to its grants only. Not thread-safe:
- * the controller's lock guards it.
+ * run. A tier that found no slot is not looked at again until a grant ends or the next
+ * refresh. An upstream that left the list stays known to its grants only. Not
+ * thread-safe: the controller's lock guards it.
  */
 final class ServicePool {
 
@@ -48,10 +50,14 @@
 
 	private final Set<PolicyGrant> running = new LinkedHashSet<>();
 
+	private final Set<PolicyGrant> preemptible = new LinkedHashSet<>();
+
 	private final Map<Tier, Integer> inFlight = new EnumMap<>(Tier.class);
 
 	private List<Upstream> upstreams = List.of();
 
+	private final boolean[] full = new boolean[Tier.values().length];
+
 	private int preempting;
 
 	private long lostAllAtNanos;
@@ -137,6 +143,18 @@
 		if (!this.slotRules.hasRoom(ticket.tier(), aged)) {
 			return null;
 		}
+		boolean selective = !ticket.tried().isEmpty();
+		if (this.full[ticket.tier().ordinal()] && !selective && !aged) {
+			return null;
+		}
+		Upstream found = choose(ticket, aged, nowNanos);
+		if (found == null && !selective && !aged) {
+			this.full[ticket.tier().ordinal()] = true;
+		}
+		return found;
+	}
+
+	private @Nullable Upstream choose(PolicyTicket ticket, boolean aged, long nowNanos) {
 		boolean avoidTried = !ticket.tried().isEmpty() && hasOtherLive(ticket, nowNanos);
 		return this.choice.choose(
 				this.upstreams, (upstream) -> !(avoidTried && ticket.tried().contains(upstream))
@@ -147,6 +165,9 @@
 	void started(PolicyGrant grant, long nowNanos) {
 		Tier tier = grant.ticket().tier();
 		this.running.add(grant);
+		if (PreemptionRule.isPreemptible(grant.ticket())) {
+			this.preemptible.add(grant);
+		}
 		this.inFlight.merge(tier, 1, Integer::sum);
 		this.slotRules.started(tier, grant.isAged());
 		grant.upstreamState().started(grant, tier, grant.isTimed(), nowNanos);
@@ -162,7 +183,9 @@
 
 	void ended(PolicyGrant grant, AttemptResult result, long nowNanos) {
 		Tier tier = grant.ticket().tier();
+		Arrays.fill(this.full, false);
 		this.running.remove(grant);
+		this.preemptible.remove(grant);
 		this.preempting -= grant.isPreempting() ? 1 : 0;
 		this.inFlight.merge(tier, -1, Integer::sum);
 		this.slotRules.ended(tier, grant.isAged());
@@ -189,7 +212,12 @@
 		}
 	}
 
-	void preemptingStarted() {
+	Set<PolicyGrant> preemptible() {
+		return this.preemptible;
+	}
+
+	void preemptingStarted(PolicyGrant grant) {
+		this.preemptible.remove(grant);
 		this.preempting++;
 	}
 
@@ -239,6 +267,7 @@
 		for (Upstream upstream : this.upstreams) {
 			upstream.peersInFlight(this.peers.inFlight(upstream.key()));
 		}
+		Arrays.fill(this.full, false);
 		demandChanged(nowNanos);
 		this.slotRules.refresh(this.upstreams, nowNanos);
 		if (this.policies.expectedLatency()) {
