--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
@@ -467,6 +467,14 @@
 		});
 	}
 
+	/**
+	 * Describes every upstream; changes nothing.
+	 * @return the upstreams in order of service and host
+	 */
+	public List<UpstreamUse> upstreamUse() {
+		return decide(() -> this.pools.upstreamUse(this.clock.nanoTime()));
+	}
+
 	void read(Consumer<PoolRegistry> reader) {
 		decide(() -> {
 			reader.accept(this.pools);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PoolRegistry.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PoolRegistry.java
@@ -1,7 +1,9 @@
 package org.cyclamenstall.internal.policy;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.cyclamenstall.catalogue.Tier;
@@ -59,6 +61,15 @@
 		}
 	}
 
+	List<UpstreamUse> upstreamUse(long nowNanos) {
+		return this.pools.values()
+			.stream()
+			.flatMap((pool) -> pool.upstreamUse(nowNanos))
+			.sorted(Comparator.comparing((UpstreamUse use) -> use.host().service())
+				.thenComparing((use) -> use.host().host()))
+			.toList();
+	}
+
 	void reportQueues(GaugeSink sink) {
 		for (ServicePool pool : this.pools.values()) {
 			for (Tier tier : Tier.values()) {
