--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/Arrival.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/Arrival.java
@@ -11,8 +11,8 @@
  * @param balancerDraw a number from 0 to 1 that chooses the daemon
  * @param tokens the length of its answer, in tokens
  */
-record Arrival(int sequence, long atNanos, Deployment.RequestClass requestClass, String account, double balancerDraw,
-		int tokens) {
+public record Arrival(int sequence, long atNanos, Deployment.RequestClass requestClass, String account,
+		double balancerDraw, int tokens) {
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ArrivalPlan.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/ArrivalPlan.java
@@ -14,7 +14,7 @@
  * has a random source of its own, so that leaving out one class leaves the others as they
  * are. Immutable.
  */
-final class ArrivalPlan {
+public final class ArrivalPlan {
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
@@ -28,7 +28,13 @@
 
 	private final double totalWeight;
 
-	ArrivalPlan(Scenario scenario, Deployment deployment, long seed) {
+	/**
+	 * Creates a plan.
+	 * @param scenario the scenario
+	 * @param deployment the deployment of the scenario
+	 * @param seed the seed
+	 */
+	public ArrivalPlan(Scenario scenario, Deployment deployment, long seed) {
 		this.deployment = deployment;
 		this.scenario = scenario;
 		this.seed = seed;
@@ -39,7 +45,7 @@
 	 * Draws the arrivals.
 	 * @return the arrivals in order of time
 	 */
-	List<Arrival> draw() {
+	public List<Arrival> draw() {
 		List<Arrival> drawn = new ArrayList<>();
 		for (Deployment.RequestClass requestClass : this.deployment.classes()) {
 			for (Deployment.Account account : this.deployment.accounts()) {
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/Scenario.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/load/Scenario.java
@@ -73,7 +73,7 @@
 	 * @param leftOut the names of classes to leave out
 	 * @return the deployment of this scenario
 	 */
-	Deployment apply(Deployment usual, List<String> leftOut) {
+	public Deployment apply(Deployment usual, List<String> leftOut) {
 		List<Deployment.Account> allAccounts = usual.accounts()
 			.stream()
 			.map((account) -> this.accounts.stream()
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/standin/ArrivalPlanTests.java
@@ -0,0 +1,88 @@
+package org.cyclamenstall.test.standin;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.internal.yaml.CheckedYamlReader;
+import org.cyclamenstall.standin.load.Arrival;
+import org.cyclamenstall.standin.load.ArrivalPlan;
+import org.cyclamenstall.standin.load.Deployment;
+import org.cyclamenstall.standin.load.Scenario;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Tests of {@link ArrivalPlan}.
+ */
+class ArrivalPlanTests {
+
+	private static final Path FILE = Path.of("..", "scenarios", "paine-pe-drum-crest.yaml");
+
+	private static final String LEFT_OUT = "order-summaries";
+
+	private final CheckedYamlReader reader = new CheckedYamlReader(ErrorKind.SETTINGS_INVALID);
+
+	private final Scenario scenario = this.reader.read(FILE, Scenario.class);
+
+	private final Deployment usual = this.reader.read(FILE.resolveSibling(this.scenario.deployment()),
+			Deployment.class);
+
+	private List<Arrival> draw(long seed, List<String> leftOut) {
+		return new ArrivalPlan(this.scenario, this.scenario.apply(this.usual, leftOut), seed).draw();
+	}
+
+	private static List<String> withoutNumbers(List<Arrival> arrivals) {
+		return arrivals.stream()
+			.filter((arrival) -> !arrival.requestClass().name().equals(LEFT_OUT))
+			.map((arrival) -> arrival.atNanos() + " " + arrival.requestClass().name() + " " + arrival.account() + " "
+					+ arrival.tokens() + " " + arrival.balancerDraw())
+			.toList();
+	}
+
+	@Nested
+	class Seed {
+
+		@Test
+		void decidesEveryArrival() {
+			assertThat(draw(1, List.of()), is(draw(1, List.of())));
+			assertThat(draw(1, List.of()), is(not(draw(2, List.of()))));
+		}
+
+	}
+
+	@Nested
+	class LeavingOutAClass {
+
+		@Test
+		void leavesTheOthersAsTheyAre() {
+			assertThat(withoutNumbers(draw(1, List.of(LEFT_OUT))), is(withoutNumbers(draw(1, List.of()))));
+		}
+
+	}
+
+	@Nested
+	class Swing {
+
+		@Test
+		void multipliesTheRate() {
+			List<Arrival> arrivals = draw(1, List.of());
+			double crest = count(arrivals, 10, 20) + count(arrivals, 40, 50);
+			double trough = count(arrivals, 20, 40);
+			assertThat(crest / trough, is(closeTo(4.4, 0.5)));
+		}
+
+		private long count(List<Arrival> arrivals, double from, double until) {
+			return arrivals.stream()
+				.filter((arrival) -> arrival.atNanos() >= from * 1e9 && arrival.atNanos() < until * 1e9)
+				.count();
+		}
+
+	}
+
+}
