Read the demonstration's catalogue from the examples and split the tier tests

The demonstration carried entries of its own; it now takes the entries of both deployments from examples/, whose keys are named there. Tests of precedence and of starvation share one overloaded site. Processes of a site end with the process that started them, also when that is killed by a signal: a full run of the matrix that was stopped had left three daemons behind.

--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/TestSite.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/TestSite.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.junit;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
@@ -50,6 +51,8 @@
 
 	private static final int STATUS_OK = 200;
 
+	private static final Duration CALLER_PATIENCE = Duration.ofSeconds(20);
+
 	private static final int REQUESTS_FOR_BUDGET = 30;
 
 	private static final String API_KEY = "test-key";
@@ -148,12 +151,13 @@
 	}
 
 	/**
-	 * Returns a caller of a daemon through its proxy for callers.
+	 * Returns a caller of a daemon through its proxy for callers, which gives up when no
+	 * answer begins.
 	 * @param index the index of the daemon
 	 * @return the caller
 	 */
 	public CallerClient callerThroughProxy(int index) {
-		return new CallerClient(this.site.daemon(index).callerProxy().address(), API_KEY);
+		return new CallerClient(this.site.daemon(index).callerProxy().address(), API_KEY, CALLER_PATIENCE);
 	}
 
 	/**
--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/BookingRun.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/BookingRun.java
@@ -36,7 +36,7 @@
 		HeldStep held = (this.cell.step() == Step.END) ? holder.holdEndOfClaim()
 				: holder.prepare(this.cell.step(), this::occupy);
 		CallerCall call = this.site.callerThroughProxy(0).startBooking(TestSite.BOOKINGS, this.key, "{}");
-		AnswerDescription.awaitHeld(held, this.site, this.cell.step());
+		held.awaitReached(this.cell.step());
 		this.cell.strike(this.site, held);
 		CallerAnswer first = call.answer();
 		long afterFirst = executions();
--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/ChatRun.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/ChatRun.java
@@ -39,7 +39,7 @@
 		StepHolder holder = new StepHolder(this.site, this.random, this.site.site().engines(), this.text);
 		HeldStep held = holder.prepare(this.cell.step(), this::occupy);
 		CallerCall call = this.site.callerThroughProxy(0).startChat(model, this.text, TOKENS, ChatForm.STREAMED);
-		AnswerDescription.awaitHeld(held, this.site, this.cell.step());
+		held.awaitReached(this.cell.step());
 		this.cell.strike(this.site, held);
 		CallerAnswer answer = call.answer();
 		List<String> violations = new ArrayList<>();
--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/EditRun.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/EditRun.java
@@ -81,7 +81,7 @@
 		if (this.cell.step() == Step.EDIT_ACKNOWLEDGED || this.cell.step() == Step.HEARD_BY_FIRST) {
 			isolate(2);
 		}
-		return new HeldStep(List.of(store), List.of(rule));
+		return HeldStep.of(List.of(store), rule);
 	}
 
 	private void isolate(int daemon) {
@@ -91,7 +91,7 @@
 
 	private void awaitStep(HeldStep held, CompletableFuture<OperatorAnswer> put, int limit) {
 		switch (this.cell.step()) {
-			case EDIT_SENT, EDIT_WRITTEN -> AnswerDescription.awaitHeld(held, this.site, this.cell.step());
+			case EDIT_SENT, EDIT_WRITTEN -> held.awaitReached(this.cell.step());
 			case EDIT_ACKNOWLEDGED -> put.join();
 			case HEARD_BY_FIRST -> awaitInForce(1, limit);
 			default -> {
--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/StepHolder.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/matrix/StepHolder.java
@@ -1,6 +1,5 @@
 package org.cyclamenstall.junit.matrix;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntFunction;
 
@@ -26,8 +25,12 @@
 
 	private static final String QUEUE_LENGTH = "cyclamenstall_queue_length";
 
+	private static final String OPEN_REQUESTS = "cyclamenstall_open_requests";
+
 	private static final int MOST_OCCUPIERS = 60;
 
+	private static final int WAITING_OCCUPIERS = 3;
+
 	private static final int HEAD_BYTES = 40;
 
 	private static final int FIRST_EVENTS_BYTES = 600;
@@ -83,22 +86,24 @@
 
 	private HeldStep queue(IntFunction<CallerCall> occupy) {
 		HeldStep held = hold(this.upstreams, FaultRule.on(Direction.ANSWER, FaultAction.HOLD).matching(OCCUPIER));
-		List<CallerCall> occupiers = new ArrayList<>();
-		while (waiting() == 0 && occupiers.size() < MOST_OCCUPIERS) {
-			occupiers.add(occupy.apply(occupiers.size()));
-			ConditionWaiter.holdsWithin(java.time.Duration.ofMillis(20), () -> waiting() > 0);
+		for (int occupier = 0; occupier < MOST_OCCUPIERS && metric(QUEUE_LENGTH) < WAITING_OCCUPIERS; occupier++) {
+			double before = metric(OPEN_REQUESTS);
+			occupy.apply(occupier);
+			ConditionWaiter.await(() -> metric(OPEN_REQUESTS) > before, () -> "an occupier did not come");
 		}
-		return held;
+		double occupiers = metric(OPEN_REQUESTS);
+		return new HeldStep(held.path(), held.rules(),
+				() -> metric(OPEN_REQUESTS) > occupiers && metric(QUEUE_LENGTH) > 0);
 	}
 
-	private double waiting() {
-		return this.site.daemon(0).operators().metric(QUEUE_LENGTH);
+	private double metric(String metric) {
+		return this.site.daemon(0).operators().metric(metric);
 	}
 
 	private static HeldStep hold(List<FaultProxy> path, FaultRule.Builder description) {
 		FaultRule rule = description.build();
 		path.forEach((proxy) -> proxy.add(rule));
-		return new HeldStep(path, List.of(rule));
+		return HeldStep.of(path, rule);
 	}
 
 }
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/caller/CallerClient.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/caller/CallerClient.java
@@ -33,14 +33,27 @@
 
 	private final String apiKey;
 
+	private final Duration headLimit;
+
 	/**
-	 * Creates a client.
+	 * Creates a patient client.
 	 * @param daemon the callers' address of a daemon
 	 * @param apiKey the API key
 	 */
 	public CallerClient(InetSocketAddress daemon, String apiKey) {
+		this(daemon, apiKey, ANSWER_LIMIT);
+	}
+
+	/**
+	 * Creates a client.
+	 * @param daemon the callers' address of a daemon
+	 * @param apiKey the API key
+	 * @param headLimit the longest wait for the head of an answer
+	 */
+	public CallerClient(InetSocketAddress daemon, String apiKey, Duration headLimit) {
 		this.daemon = daemon;
 		this.apiKey = apiKey;
+		this.headLimit = headLimit;
 	}
 
 	/**
@@ -132,7 +145,7 @@
 	private HttpRequest.Builder request(String path) {
 		URI uri = URI.create("http://" + this.daemon.getHostString() + ":" + this.daemon.getPort() + path);
 		return HttpRequest.newBuilder(uri)
-			.timeout(ANSWER_LIMIT)
+			.timeout(this.headLimit)
 			.header(HeaderNames.AUTHORIZATION, "Bearer " + this.apiKey);
 	}
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DemoDeployment.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DemoDeployment.java
@@ -1,58 +1,58 @@
 package org.cyclamenstall.standin.site;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 
-import org.apache.commons.codec.digest.DigestUtils;
+import org.cyclamenstall.internal.yaml.YamlDocuments;
 
 /**
  * Holds one deployment of the demonstration. Immutable.
  *
+ * @param name the name of its directory among the examples
  * @param account the name of its client account
- * @param apiKey the API key of the account
- * @param chatEntry the name of its model entry
- * @param model the model that the entry serves
- * @param serviceEntry the name of its service entry
- * @param pathPrefix the path prefix that the entry serves
+ * @param model its model, and the name of the entry of that model
+ * @param bookingEntry the name of the entry for bookings
+ * @param bookingPath the path of bookings
+ * @param lookUpEntry the name of the entry for lookups
+ * @param lookUpPath the path prefix of lookups
  */
-record DemoDeployment(String account, String apiKey, String chatEntry, String model, String serviceEntry,
-		String pathPrefix) {
+record DemoDeployment(String name, String account, String model, String bookingEntry, String bookingPath,
+		String lookUpEntry, String lookUpPath) {
+
+	private static final String KEY_PREFIX = "example-key-";
 
 	static List<DemoDeployment> all() {
 		return List.of(
-				new DemoDeployment("paine-pe-drum", "demo-key-paine", "paine-driver-chat", "driver-chat",
-						"paine-orders", "/orders"),
-				new DemoDeployment("atlas-balisage", "demo-key-atlas", "atlas-guide-chat", "guide-chat",
-						"atlas-work-orders", "/work-orders"));
+				new DemoDeployment("paine-pe-drum", "depot-cluj", "driver-chat", "bookings", "/bookings",
+						"stock-lookups", "/stock"),
+				new DemoDeployment("atlas-balisage", "crews-north", "guide-chat", "work-orders", "/work-orders",
+						"status-lookups", "/status"));
+	}
+
+	String apiKey() {
+		return KEY_PREFIX + this.account;
 	}
 
-	void putEntries(Site site) {
-		site.putEntry(this.chatEntry, resource(this.chatEntry));
-		site.putEntry(this.serviceEntry, resource(this.serviceEntry));
-		site.putEntry(this.account, accountEntry());
+	void putEntries(Site site, Path examples) {
+		List<String> documents = YamlDocuments.split(read(examples.resolve(this.name).resolve("catalogue.yaml")));
+		for (String entry : List.of(this.model, this.bookingEntry, this.lookUpEntry, this.account)) {
+			site.putEntry(entry, document(documents, entry));
+		}
 	}
 
-	private String accountEntry() {
-		return """
-				name: %s
-				kind: account
-				owner: %s
-				class: interactive
-				keyHashes: [%s]
-				entries: [%s, %s]
-				""".formatted(this.account, this.account, DigestUtils.sha256Hex(this.apiKey), this.chatEntry,
-				this.serviceEntry);
+	private String document(List<String> documents, String entry) {
+		return documents.stream()
+			.filter((document) -> document.lines().anyMatch(("name: " + entry)::equals))
+			.findFirst()
+			.orElseThrow(() -> new IllegalStateException("No entry " + entry + " in the example " + this.name));
 	}
 
-	private static String resource(String entry) {
-		try (InputStream stream = DemoDeployment.class.getResourceAsStream(entry + ".yaml")) {
-			if (stream == null) {
-				throw new IllegalStateException("No entry " + entry);
-			}
-			return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+	private static String read(Path file) {
+		try {
+			return Files.readString(file);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DemoMain.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DemoMain.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 
@@ -29,6 +30,13 @@
 		.desc("end everything after the requests; exit code 0 if each answer was right")
 		.get();
 
+	private static final Option EXAMPLES = Option.builder()
+		.longOpt("examples")
+		.hasArg()
+		.argName("DIRECTORY")
+		.desc("the example catalogues; by default those of the working directory")
+		.get();
+
 	private static final Option HELP = Option.builder("h").longOpt("help").desc("print this help").get();
 
 	private DemoMain() {
@@ -42,14 +50,17 @@
 	public static void main(String[] arguments) throws InterruptedException {
 		PrintStream output = new PrintStream(System.out, true, StandardCharsets.UTF_8);
 		try {
-			CommandLine line = new DefaultParser().parse(new Options().addOption(ONCE).addOption(HELP), arguments);
+			CommandLine line = new DefaultParser()
+				.parse(new Options().addOption(ONCE).addOption(EXAMPLES).addOption(HELP), arguments);
 			if (line.hasOption(HELP)) {
 				output.println("usage: cyclamenstall-demo [--once]");
-				output.println("  --once      " + ONCE.getDescription());
-				output.println("  -h, --help  " + HELP.getDescription());
+				output.println("  --once                " + ONCE.getDescription());
+				output.println("  --examples DIRECTORY  " + EXAMPLES.getDescription());
+				output.println("  -h, --help            " + HELP.getDescription());
 				return;
 			}
-			System.exit(run(output, line.hasOption(ONCE) ? DemoMode.ONCE : DemoMode.STAY));
+			Path examples = Path.of(line.getOptionValue(EXAMPLES, "examples"));
+			System.exit(run(output, examples, line.hasOption(ONCE) ? DemoMode.ONCE : DemoMode.STAY));
 		}
 		catch (ParseException ex) {
 			System.err.println("cyclamenstall-demo: usage: " + ex.getMessage());
@@ -57,12 +68,11 @@
 		}
 	}
 
-	private static int run(PrintStream output, DemoMode mode) throws InterruptedException {
+	private static int run(PrintStream output, Path examples, DemoMode mode) throws InterruptedException {
 		output.println("Starting the stand-ins and " + DAEMONS + " daemons");
 		try (Site site = new SiteLauncher(settings()).call()) {
-			Runtime.getRuntime().addShutdownHook(new Thread(site::close, "demo-shutdown"));
 			DemoRequests requests = new DemoRequests(site, output);
-			DemoDeployment.all().forEach((deployment) -> deployment.putEntries(site));
+			DemoDeployment.all().forEach((deployment) -> deployment.putEntries(site, examples));
 			DemoDeployment.all().forEach(requests::send);
 			output.println(requests.wrongAnswers() + " wrong answers");
 			if (mode == DemoMode.STAY) {
@@ -87,7 +97,7 @@
 		}
 		for (DemoDeployment deployment : DemoDeployment.all()) {
 			output.println(deployment.account() + ": API key " + deployment.apiKey() + ", model " + deployment.model()
-					+ ", plain service below " + deployment.pathPrefix());
+					+ ", bookings below " + deployment.bookingPath() + ", lookups below " + deployment.lookUpPath());
 		}
 		output.println("Running until it is interrupted");
 	}
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DemoRequests.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/DemoRequests.java
@@ -32,13 +32,13 @@
 	}
 
 	void send(DemoDeployment deployment) {
-		this.output.println(deployment.account());
+		this.output.println(deployment.name() + ", as account " + deployment.account());
 		CallerAnswer whole = client(deployment).chat(deployment.model(), "Is the ramp free?", TOKENS, ChatForm.WHOLE);
 		report("chat, whole", whole, whole.looksWhole() && !whole.text().isEmpty());
 		CallerAnswer streamed = client(deployment).chat(deployment.model(), "Is the ramp free?", TOKENS,
 				ChatForm.STREAMED);
 		report("chat, streamed", streamed, streamed.looksWhole() && streamed.isStream() && !streamed.text().isEmpty());
-		CallerAnswer lookUp = client(deployment).lookUp(deployment.pathPrefix() + "/17");
+		CallerAnswer lookUp = client(deployment).lookUp(deployment.lookUpPath() + "/17");
 		report("lookup", lookUp, lookUp.looksWhole());
 		bookTwice(deployment);
 	}
@@ -50,9 +50,9 @@
 	private void bookTwice(DemoDeployment deployment) {
 		String key = deployment.account() + "-booking-1";
 		String body = "{\"item\":17}";
-		CallerAnswer first = client(deployment).book(deployment.pathPrefix(), key, body);
+		CallerAnswer first = client(deployment).book(deployment.bookingPath(), key, body);
 		report("booking, pressed", first, first.looksWhole());
-		CallerAnswer second = client(deployment).book(deployment.pathPrefix(), key, body);
+		CallerAnswer second = client(deployment).book(deployment.bookingPath(), key, body);
 		report("booking, pressed again", second, second.looksWhole() && second.body().equals(first.body()));
 		long executions = this.site.executionsOfKey(key);
 		judge(executions == 1);
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteLauncher.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/site/SiteLauncher.java
@@ -61,10 +61,12 @@
 	}
 
 	/**
-	 * Starts the stand-ins and the daemons and waits until every daemon is ready.
+	 * Starts the stand-ins and the daemons and waits until every daemon is ready. They
+	 * end with this process at the latest.
 	 * @return the site
 	 */
 	public Site call() {
+		Runtime.getRuntime().addShutdownHook(new Thread(this.closer::close, "site-shutdown"));
 		try {
 			Site site = launch();
 			site.daemons().forEach(DaemonInstance::awaitReady);
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/integration/FaultMatrixTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/integration/FaultMatrixTests.java
@@ -73,21 +73,22 @@
 	}
 
 	private static List<MatrixCell> allCells() {
+		List<List<Fault>> single = Stream.of(Fault.values()).map(List::of).toList();
 		List<MatrixCell> cells = new ArrayList<>();
-		addCells(cells, MatrixCell.Flow.BOOKING, Step.OF_BOOKING);
-		addCells(cells, MatrixCell.Flow.CHAT, Step.OF_CHAT);
-		addCells(cells, MatrixCell.Flow.EDIT, Step.OF_EDIT);
+		for (List<List<Fault>> faults : List.of(single, Fault.PAIRS)) {
+			addCells(cells, MatrixCell.Flow.BOOKING, Step.OF_BOOKING, faults);
+			addCells(cells, MatrixCell.Flow.CHAT, Step.OF_CHAT, faults);
+			addCells(cells, MatrixCell.Flow.EDIT, Step.OF_EDIT, faults);
+		}
 		return cells;
 	}
 
-	private static void addCells(List<MatrixCell> cells, MatrixCell.Flow flow, List<Step> steps) {
+	private static void addCells(List<MatrixCell> cells, MatrixCell.Flow flow, List<Step> steps,
+			List<List<Fault>> faults) {
 		long seed = Long.getLong("cyclamenstall.matrix.seed", 1);
 		for (Step step : steps) {
-			for (Fault fault : Fault.values()) {
-				cells.add(new MatrixCell(flow, step, List.of(fault), seed + cells.size()));
-			}
-			for (List<Fault> pair : Fault.PAIRS) {
-				cells.add(new MatrixCell(flow, step, pair, seed + cells.size()));
+			for (List<Fault> each : faults) {
+				cells.add(new MatrixCell(flow, step, each, seed + cells.size()));
 			}
 		}
 	}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/integration/OverloadSite.java
@@ -0,0 +1,78 @@
+package org.cyclamenstall.test.integration;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cyclamenstall.junit.LoggedDecision;
+import org.cyclamenstall.junit.TestSite;
+import org.cyclamenstall.settings.PolicySettings;
+import org.cyclamenstall.standin.caller.CallerAnswer;
+import org.cyclamenstall.standin.caller.CallerCall;
+import org.cyclamenstall.standin.caller.ChatForm;
+import org.cyclamenstall.standin.engine.EngineOptions;
+import org.cyclamenstall.standin.site.UpstreamGroup;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Holds one daemon before two engines of few slots, which a few requests overload, and
+ * the log of its decisions.
+ */
+final class OverloadSite implements AutoCloseable {
+
+	/** The requests that may wait in each tier. */
+	static final int QUEUE_LENGTH = 20;
+
+	private static final EngineOptions SMALL_ENGINE = new EngineOptions(2, 0, 5.0, 0.5, 100_000.0, null, 0, 100_000,
+			0.0, null);
+
+	private static final PolicySettings SHORT_QUEUES = new PolicySettings(null, null, null, null, null, null, 2, null,
+			null, QUEUE_LENGTH, 1_000, 10_000, 10_000);
+
+	private final TestSite site = TestSite.launch(TestSite.settings(1)
+		.withUpstreams(List.of(new UpstreamGroup("cuptor", 2)), List.of(new UpstreamGroup("ghiseu", 1)))
+		.withEngineOptions(SMALL_ENGINE)
+		.withPolicy(SHORT_QUEUES)
+		.withLogLevel("debug"));
+
+	TestSite site() {
+		return this.site;
+	}
+
+	List<CallerCall> start(String model, int count, int tokens) {
+		List<CallerCall> calls = new ArrayList<>();
+		for (int index = 0; index < count; index++) {
+			calls.add(this.site.caller(0).startChat(model, model + " " + index, tokens, ChatForm.STREAMED));
+		}
+		return calls;
+	}
+
+	void checkDecisionsAndRestore() {
+		List<LoggedDecision> decisions = LoggedDecision.read(this.site.daemon(0).process().errors());
+		assertThat(decisions, not(empty()));
+		assertThat(decisions.stream().filter(LoggedDecision::breaksTierOrder).toList(), empty());
+		this.site.restore();
+	}
+
+	@Override
+	public void close() {
+		this.site.close();
+	}
+
+	static List<CallerAnswer> answers(List<CallerCall> calls) {
+		return calls.stream().map(CallerCall::answer).toList();
+	}
+
+	static void assertAllWhole(List<CallerAnswer> answers) {
+		answers.forEach((answer) -> assertThat(answer.toString(), answer.looksWhole(), is(true)));
+	}
+
+	static void assertWholeOrTypedNotRun(List<CallerAnswer> answers) {
+		answers.forEach((answer) -> assertThat(answer.toString(),
+				answer.looksWhole() || answer.outcome().equals("not-run"), is(true)));
+	}
+
+}
