Call the host list without the controller's lock

A daemon could stop for good: the host list publishes under its monitor and calls the controller, which takes its lock; the controller, at the first request of a service, called the host list's watch under that lock. Found by reading; HostListLockTests failed first (no end within 20 s).

The services of the catalogue are now given to the host list and to the controller one after the other, without the lock, and so the operators' list shows upstreams before their first request.

A listed state "leaving" is shown as such again.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/HostListLockTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/HostListLockTests.java
@@ -21,7 +21,9 @@
 		@Test
 		void theHostListIsNotCalledUnderTheLock() {
 			PolicyFixture fixture = new PolicyFixture(PolicyFixture.TIERS, 1, 1);
-			fixture.whenWatched = () -> CompletableFuture.runAsync(fixture::publish).join();
+			fixture.whenWatched = () -> CompletableFuture.runAsync(fixture::publish)
+				.orTimeout(20, TimeUnit.SECONDS)
+				.join();
 			fixture.submit(Tier.INTERACTIVE);
 		}
 
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/PolicyFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/PolicyFixture.java
@@ -48,6 +48,9 @@
 
 	final PolicyTrafficController controller;
 
+	Runnable whenWatched = () -> {
+	};
+
 	private long requests;
 
 	PolicyFixture(PolicySettings settings, int upstreams, long seed) {
@@ -125,6 +128,7 @@
 
 		@Override
 		public void watch(String service) {
+			PolicyFixture.this.whenWatched.run();
 		}
 
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
@@ -15,7 +15,6 @@
 import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.errors.ErrorKind;
-import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
 import org.cyclamenstall.internal.policy.limits.LimitBook;
 import org.cyclamenstall.internal.policy.limits.LimitShare;
@@ -82,12 +81,11 @@
 
 	private long refreshedAtNanos;
 
-	PolicyTrafficController(PolicySet policies, HostList hosts, MonotonicClock clock, PolicyMetrics metrics,
-			DecisionLog log) {
+	PolicyTrafficController(PolicySet policies, MonotonicClock clock, PolicyMetrics metrics, DecisionLog log) {
 		this.policies = policies;
 		this.clock = clock;
 		LimitShare share = policies.newLimitShare();
-		this.pools = new PoolRegistry(policies, hosts, share, this.peers);
+		this.pools = new PoolRegistry(policies, share, this.peers);
 		this.limits = new LimitBook(share, this.peers);
 		this.admission = new Admission(this.limits, this.estimate, policies.settings().queueLength());
 		this.recorder = new DecisionRecorder(metrics, log);
@@ -467,6 +465,16 @@
 		});
 	}
 
+	/**
+	 * Takes a service of the catalogue, so that its upstreams are known before its first
+	 * request.
+	 * @param service the name of the service
+	 */
+	void watch(String service) {
+		long nowNanos = this.clock.nanoTime();
+		decide(() -> this.pools.of(service, nowNanos));
+	}
+
 	/**
 	 * Describes every upstream; changes nothing.
 	 * @return the upstreams in order of service and host
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PoolRegistry.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PoolRegistry.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 
 import org.cyclamenstall.catalogue.Tier;
-import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
 import org.cyclamenstall.internal.policy.limits.LimitShare;
 import org.cyclamenstall.internal.policy.limits.PeerDemand;
@@ -22,17 +21,14 @@
 
 	private final PolicySet policies;
 
-	private final HostList hosts;
-
 	private final LimitShare share;
 
 	private final PeerDemand peers;
 
 	private HostSnapshot snapshot = HostSnapshot.EMPTY;
 
-	PoolRegistry(PolicySet policies, HostList hosts, LimitShare share, PeerDemand peers) {
+	PoolRegistry(PolicySet policies, LimitShare share, PeerDemand peers) {
 		this.policies = policies;
-		this.hosts = hosts;
 		this.share = share;
 		this.peers = peers;
 	}
@@ -48,7 +44,6 @@
 			pool.listed(this.snapshot.hosts(service));
 			pool.refresh(nowNanos);
 			this.pools.put(service, pool);
-			this.hosts.watch(service);
 		}
 		return pool;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/ServicePool.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 
 import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.policy.limits.LimitShare;
 import org.cyclamenstall.internal.policy.limits.PeerDemand;
@@ -98,6 +99,9 @@
 	}
 
 	private static UpstreamUse.Condition condition(Upstream upstream, long nowNanos) {
+		if (upstream.host().state() == HostState.LEAVING) {
+			return UpstreamUse.Condition.LEAVING;
+		}
 		if (!upstream.isLive(nowNanos)) {
 			return UpstreamUse.Condition.CLOSED;
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/TrafficControllers.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/TrafficControllers.java
@@ -52,22 +52,33 @@
 			DecisionLog log) {
 		PolicySet policies = new PolicySet(settings, failureDomain, random);
 		PolicyMetrics policyMetrics = new PolicyMetrics(metrics);
-		PolicyTrafficController controller = new PolicyTrafficController(policies, hosts, clock, policyMetrics, log);
+		PolicyTrafficController controller = new PolicyTrafficController(policies, clock, policyMetrics, log);
 		policyMetrics.registerGauges(metrics, controller);
 		controller.hostsChanged(hosts.current());
 		hosts.addListener(controller::hostsChanged);
-		watchServices(catalogue.current(), hosts);
-		catalogue.addListener((newer) -> watchServices(newer, hosts));
+		watchServices(catalogue.current(), hosts, controller);
+		catalogue.addListener((newer) -> watchServices(newer, hosts, controller));
 		return controller;
 	}
 
-	private static void watchServices(Catalogue catalogue, HostList hosts) {
+	/**
+	 * Takes the services of a catalogue. The host list calls the controller under a lock
+	 * of its own, so it is never called under the controller's.
+	 * @param catalogue the catalogue
+	 * @param hosts the host list
+	 * @param controller the controller
+	 */
+	private static void watchServices(Catalogue catalogue, HostList hosts, PolicyTrafficController controller) {
 		catalogue.records()
 			.stream()
 			.map(CatalogueRecord::entry)
 			.flatMap((entry) -> Optional.ofNullable(entry).stream())
 			.flatMap((entry) -> Optional.ofNullable(entry.upstreams()).stream())
-			.forEach(hosts::watch);
+			.distinct()
+			.forEach((service) -> {
+				hosts.watch(service);
+				controller.watch(service);
+			});
 	}
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/UpstreamUse.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/UpstreamUse.java
@@ -27,7 +27,10 @@
 		/** Takes none for a while because it was slow. */
 		EJECTED,
 
-		/** Takes none: it is listed as leaving, said that it drains, or refused. */
+		/** Takes none: it is listed as leaving. */
+		LEAVING,
+
+		/** Takes none: it said that it drains, or refused connections. */
 		CLOSED
 
 	}
