Let a request that a full upstream refused wait for room

Cause: an engine that is full answers 429, which proves that nothing ran, yet the refusal was paid from the retry budget and counted to the attempts; a daemon that does not know an engine's slots yet is refused by it often. The deadlock of the host list was ruled out, since the answer came at once.

A refused request now waits again, with the growing pause of a retry, at most 20 times; other retries are paid as before.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/RetryTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/RetryTests.java
@@ -1,6 +1,8 @@
 package org.cyclamenstall.test.policy;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 import org.cyclamenstall.catalogue.Tier;
@@ -75,6 +77,61 @@
 
 	}
 
+	@Nested
+	class WhenTheOnlyUpstreamIsFull {
+
+		private final PolicyFixture full = new PolicyFixture(PolicyFixture.settings("tiers", 50, 100), 1, 1);
+
+		private RecordedListener refusedOnce(Ticket ticket, RecordedListener refused) {
+			refused.grant().loadReported(4, 4, 0);
+			refused.grant().ended(AttemptResult.REFUSED);
+			RecordedListener again = new RecordedListener();
+			assertThat(ticket.retry(RetryReason.REFUSED, again), equalTo(RetryDecision.GRANTED));
+			return again;
+		}
+
+		@Test
+		void everyRequestWaitsForRoom() {
+			List<RecordedListener> running = new ArrayList<>();
+			List<RecordedListener> waiting = new ArrayList<>();
+			for (int count = 0; count < 50; count++) {
+				RecordedListener listener = new RecordedListener();
+				Ticket ticket = this.full.submit(Tier.INTERACTIVE, listener);
+				if (count < 4) {
+					running.add(listener);
+				}
+				else if (listener.answers() > 0) {
+					waiting.add(refusedOnce(ticket, listener));
+				}
+				else {
+					waiting.add(listener);
+				}
+			}
+			this.full.advanceMillis(2_000);
+			assertThat(waiting.stream().mapToInt(RecordedListener::answers).sum(), equalTo(0));
+			running.forEach((listener) -> listener.grant().ended(AttemptResult.COMPLETED));
+			this.full.advanceMillis(2_000);
+			assertThat(waiting.stream().mapToInt(RecordedListener::answers).sum(), equalTo(4));
+		}
+
+		@Test
+		void aRequestThatIsRefusedAgainAndAgainEnds() {
+			RecordedListener listener = new RecordedListener();
+			Ticket ticket = this.full.submit(Tier.INTERACTIVE, listener);
+			RetryDecision decision = RetryDecision.GRANTED;
+			int attempts = 0;
+			while (decision == RetryDecision.GRANTED && attempts < 100) {
+				attempts++;
+				listener.grant().ended(AttemptResult.REFUSED);
+				listener = new RecordedListener();
+				decision = ticket.retry(RetryReason.REFUSED, listener);
+				this.full.advanceMillis(2_000);
+			}
+			assertThat(decision, equalTo(RetryDecision.ATTEMPTS_EXHAUSTED));
+		}
+
+	}
+
 	@Nested
 	class Hedge {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTicket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTicket.java
@@ -47,6 +47,8 @@
 
 	private int countedAttempts;
 
+	private int refusals;
+
 	private int preemptions;
 
 	private boolean admitted;
@@ -206,6 +208,14 @@
 		this.countedAttempts++;
 	}
 
+	int refusals() {
+		return this.refusals;
+	}
+
+	void countRefusal() {
+		this.refusals++;
+	}
+
 	int preemptions() {
 		return this.preemptions;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/RetryRule.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/RetryRule.java
@@ -11,14 +11,17 @@
 import org.cyclamenstall.settings.PolicySettings;
 
 /**
- * Decides on further attempts. A preempted request always gets another one; every other
- * attempt after the first is paid from the retry budget. Not thread-safe: the
- * controller's lock guards it.
+ * Decides on further attempts. A preempted request always gets another one. One that an
+ * upstream refused unexecuted, because it is full, waits for room again, a bounded number
+ * of times. Every other attempt after the first is paid from the retry budget. Not
+ * thread-safe: the controller's lock guards it.
  */
 final class RetryRule {
 
 	private static final int LEAST_SAMPLES = 20;
 
+	private static final int MAXIMUM_REFUSALS = 20;
+
 	private static final long LEAST_HEDGE_NANOS = 20_000_000L;
 
 	private final RetryBudget budget;
@@ -41,6 +44,9 @@
 		if (reason == RetryReason.PREEMPTED) {
 			return RetryDecision.GRANTED;
 		}
+		if (reason == RetryReason.REFUSED) {
+			return decideAfterRefusal(ticket, nowNanos);
+		}
 		if (ticket.countedAttempts() + 1 >= this.maximumAttempts) {
 			return RetryDecision.ATTEMPTS_EXHAUSTED;
 		}
@@ -55,8 +61,20 @@
 		return RetryDecision.GRANTED;
 	}
 
+	private static RetryDecision decideAfterRefusal(PolicyTicket ticket, long nowNanos) {
+		if (ticket.refusals() >= MAXIMUM_REFUSALS) {
+			return RetryDecision.ATTEMPTS_EXHAUSTED;
+		}
+		if (!ticket.pool().hasLive(nowNanos)) {
+			return RetryDecision.NO_UPSTREAM;
+		}
+		ticket.countRefusal();
+		return RetryDecision.GRANTED;
+	}
+
 	long pauseNanos(PolicyTicket ticket, RetryReason reason) {
-		return this.backoff.pauseNanos(reason, ticket.countedAttempts());
+		int made = (reason == RetryReason.REFUSED) ? ticket.refusals() : ticket.countedAttempts();
+		return this.backoff.pauseNanos(reason, made);
 	}
 
 	Optional<Duration> hedgeDelay(PolicyTicket ticket) {
