--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/engine/EngineStandin.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/engine/EngineStandin.java
@@ -114,18 +114,8 @@
 	}
 
 	@Override
-	public String address() {
-		return this.server.address();
-	}
-
-	@Override
-	public int port() {
-		return this.server.port();
-	}
-
-	@Override
-	public int controlPort() {
-		return this.server.controlPort();
+	public StandinServer server() {
+		return this.server;
 	}
 
 	/**
