--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/OpenController.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/OpenController.java
@@ -12,6 +12,7 @@
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.Refusal;
 import org.cyclamenstall.policy.RequestFacts;
 import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
@@ -94,7 +95,7 @@
 				listener.granted(new OpenGrant(OpenController.this.upstreams.next(), ++this.attempts));
 			}
 			else {
-				listener.refused(ErrorKind.NO_LIVE_UPSTREAM, "no upstream is left");
+				listener.refused(new Refusal(ErrorKind.NO_LIVE_UPSTREAM, "no upstream is left"));
 			}
 		}
 
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/DecisionCost.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/DecisionCost.java
@@ -18,7 +18,6 @@
 import org.cyclamenstall.catalogue.EntryKind;
 import org.cyclamenstall.catalogue.Limits;
 import org.cyclamenstall.catalogue.Tier;
-import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.hosts.HostSnapshot;
 import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.hosts.ListedHost;
@@ -28,6 +27,7 @@
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.Refusal;
 import org.cyclamenstall.policy.RequestFacts;
 import org.cyclamenstall.policy.Ticket;
 import org.cyclamenstall.settings.PolicySettings;
@@ -152,8 +152,8 @@
 		}
 
 		@Override
-		public void refused(ErrorKind kind, String detail) {
-			throw new IllegalStateException(kind + ": " + detail);
+		public void refused(Refusal refused) {
+			throw new IllegalStateException(refused.toString());
 		}
 
 		void end() {
--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/SimulatedRequest.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/bench/SimulatedRequest.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.Refusal;
 import org.cyclamenstall.policy.RequestFacts;
 import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
@@ -97,7 +97,7 @@
 		}
 
 		@Override
-		public void refused(ErrorKind kind, String detail) {
+		public void refused(Refusal refused) {
 			SimulatedRequest request = SimulatedRequest.this;
 			request.trial.result().count(request.facts.tier(), TrialResult.Column.REFUSED);
 		}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/InvariantTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/InvariantTests.java
@@ -15,11 +15,11 @@
 
 import org.cyclamenstall.catalogue.Limits;
 import org.cyclamenstall.catalogue.Tier;
-import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.junit.DecisionLogCheck;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.Refusal;
 import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
 import org.cyclamenstall.policy.Ticket;
@@ -137,7 +137,7 @@
 					}
 
 					@Override
-					public void refused(ErrorKind kind, String detail) {
+					public void refused(Refusal refused) {
 						count.incrementAndGet();
 						if (Running.this.ticket != null) {
 							Running.this.ticket.finish(0);
@@ -277,7 +277,7 @@
 			}
 
 			@Override
-			public void refused(ErrorKind kind, String detail) {
+			public void refused(Refusal refused) {
 				this.told.incrementAndGet();
 				this.answered.countDown();
 			}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/RecordedListener.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/RecordedListener.java
@@ -5,6 +5,7 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.Refusal;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,8 +28,8 @@
 	}
 
 	@Override
-	public void refused(ErrorKind kind, String detail) {
-		this.refusal = kind;
+	public void refused(Refusal refused) {
+		this.refusal = refused.kind();
 		this.answers.incrementAndGet();
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/ErrorKind.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/ErrorKind.java
@@ -95,12 +95,21 @@
 	/** The upstream's answer exceeds the bound. */
 	UPSTREAM_ANSWER_TOO_LARGE,
 
+	/** The upstream failed, and may have run the request before. */
+	UPSTREAM_FAILED,
+
+	/** Every upstream holds as much work as it can finish in time. */
+	UPSTREAMS_FULL,
+
 	/** The daemon is shutting down. */
 	SHUTTING_DOWN,
 
 	/** The daemon holds no catalogue yet. */
 	NOT_READY,
 
+	/** The daemon could not confirm lately that the API keys are still valid. */
+	KEYS_UNCONFIRMED,
+
 	/** The operator's token is missing or wrong. */
 	OPERATOR_UNAUTHORIZED,
 
@@ -119,6 +128,9 @@
 	/** The store is unavailable or the call budget is spent. */
 	STORE_UNAVAILABLE,
 
+	/** The store does not hold the changes that were asked for any more. */
+	STORE_HISTORY_LOST,
+
 	/** The settings fail their checks. */
 	SETTINGS_INVALID,
 
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -0,0 +1,154 @@
+package org.cyclamenstall.internal.daemon;
+
+import java.time.Duration;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.internal.claims.NoClaims;
+import org.cyclamenstall.internal.follower.FollowedHostList;
+import org.cyclamenstall.internal.follower.Freshness;
+import org.cyclamenstall.internal.follower.StoreFollower;
+import org.cyclamenstall.internal.gateway.CallerServer;
+import org.cyclamenstall.internal.gateway.KeyRights;
+import org.cyclamenstall.internal.gateway.RoutedCallerProtocol;
+import org.cyclamenstall.internal.kernel.BootClock;
+import org.cyclamenstall.internal.operators.Readiness;
+import org.cyclamenstall.internal.policy.placement.PlacementTrafficController;
+import org.cyclamenstall.internal.routes.FollowedRouteTable;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.kernel.ServiceRegistry;
+import org.cyclamenstall.lib.ServiceNames;
+import org.cyclamenstall.routes.RouteTable;
+
+/**
+ * Assembles a daemon that serves the routes of a followed store, and ends it in order.
+ * Used by one thread.
+ */
+public final class RoutedDaemon implements AutoCloseable {
+
+	private static final Logger logger = LogManager.getLogger(RoutedDaemon.class);
+
+	private static final Duration DRAIN_POLL = Duration.ofMillis(50);
+
+	/** How long a daemon that is shutting down still serves new requests at least. */
+	private static final Duration SETTLE = Duration.ofMillis(3_500);
+
+	private final RoutedDaemonSettings settings;
+
+	private final MonotonicClock clock = MonotonicClock.SYSTEM;
+
+	private final PrometheusRegistry metrics = new PrometheusRegistry();
+
+	private final ServiceRegistry services = new ServiceRegistry();
+
+	private final Freshness freshness = new Freshness(new BootClock());
+
+	private final FollowedRouteTable routes;
+
+	private final KeyRights keys;
+
+	private volatile boolean leaving;
+
+	/**
+	 * Creates a daemon.
+	 * @param settings the settings
+	 * @param deployment translates between the daemon and its deployment
+	 */
+	public RoutedDaemon(RoutedDaemonSettings settings, RoutedDeployment deployment) {
+		this.settings = settings;
+		this.keys = new KeyRights(this.freshness, settings.keyBound());
+		this.routes = new FollowedRouteTable(deployment.configurationKey(), deployment.configurations());
+		FollowedHostList hosts = new FollowedHostList(deployment.hostsPrefix(), deployment.hosts(), this.clock);
+		StoreFollower follower = new StoreFollower(deployment.store(), deployment.watchedPrefix(), this.freshness,
+				random());
+		follower.addListener(this.routes);
+		follower.addListener(hosts);
+		this.services.register(ServiceNames.TRAFFIC, new PlacementTrafficController(settings.placement(), hosts,
+				settings.failureDomain(), this.clock, random()));
+		RoutedCallerProtocol protocol = new RoutedCallerProtocol(this.routes, this.keys, deployment.heads(),
+				deployment.upstreams(), deployment.answers(), settings.host(), System.currentTimeMillis(), this.clock,
+				random());
+		CallerServer server = new CallerServer(settings.callers(), protocol, controller(), new NoClaims(), this.clock,
+				this.metrics)
+			.withPort(settings.readiness(), new ProbeHandler(settings.readinessPath(), this::readiness));
+		this.services.register(ServiceNames.CALLERS, server);
+		this.services.register(ServiceNames.STORE_FOLLOWER, follower);
+		this.routes.addListener(this::boundCallers);
+	}
+
+	/**
+	 * Starts every service.
+	 */
+	public void start() {
+		this.services.start();
+		logger.info("Daemon {} started", this.settings.host());
+	}
+
+	/**
+	 * Shuts down gracefully: readiness turns false, requests are served until none is
+	 * open after the settle time.
+	 * @param signal cuts the shutdown short when it is raised again
+	 */
+	public void shutDown(ShutdownSignal signal) {
+		logger.info("Shutdown begins; {} requests are open", callers().openRequests());
+		this.leaving = true;
+		callers().closeConnectionsAfterAnswers();
+		long startedAtNanos = this.clock.nanoTime();
+		while (!isDone(startedAtNanos)) {
+			if (signal.awaitSecond(DRAIN_POLL)) {
+				break;
+			}
+		}
+		logger.info("Shutdown ends; {} requests are open", callers().openRequests());
+	}
+
+	private boolean isDone(long startedAtNanos) {
+		long sinceNanos = this.clock.nanoTime() - startedAtNanos;
+		if (sinceNanos >= this.settings.shutdownTime().toNanos()) {
+			return true;
+		}
+		return sinceNanos >= SETTLE.toNanos() && callers().openRequests() == 0;
+	}
+
+	@Override
+	public void close() {
+		this.services.close();
+	}
+
+	private Readiness readiness() {
+		if (this.leaving) {
+			return new Readiness(false, ErrorKind.SHUTTING_DOWN.code());
+		}
+		if (this.routes.current().isEmpty()) {
+			return new Readiness(false, ErrorKind.NOT_READY.code());
+		}
+		if (!this.keys.areConfirmed()) {
+			return new Readiness(false, ErrorKind.KEYS_UNCONFIRMED.code());
+		}
+		return new Readiness(true, "");
+	}
+
+	// Keeps idle connections longer than callers are told, so that no request crosses
+	// their end.
+	private void boundCallers(RouteTable table) {
+		callers().boundCallers(table.callerBounds().headerBytes(), table.callerBounds().headerTime(),
+				table.callerBounds().idleTime().multipliedBy(2));
+	}
+
+	private PlacementTrafficController controller() {
+		return this.services.find(ServiceNames.TRAFFIC, PlacementTrafficController.class);
+	}
+
+	private CallerServer callers() {
+		return this.services.find(ServiceNames.CALLERS, CallerServer.class);
+	}
+
+	private static UniformRandomProvider random() {
+		return RandomSource.XO_RO_SHI_RO_128_PP.create();
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptRun.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptRun.java
@@ -1,14 +1,16 @@
 package org.cyclamenstall.internal.gateway;
 
-import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.internal.upstream.AnswerHead;
 import org.cyclamenstall.internal.upstream.AttemptFailure;
 import org.cyclamenstall.internal.upstream.AttemptListener;
+import org.cyclamenstall.internal.upstream.ReportedLoad;
 import org.cyclamenstall.internal.upstream.StreamEvent;
 import org.cyclamenstall.internal.upstream.UpstreamAttempt;
 import org.cyclamenstall.internal.upstream.WholeAnswer;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.Refusal;
 import org.jspecify.annotations.Nullable;
 import org.xnio.XnioIoThread;
 
@@ -41,8 +43,8 @@
 	}
 
 	@Override
-	public void refused(ErrorKind kind, String detail) {
-		this.thread.execute(() -> this.run.refused(this, kind, detail));
+	public void refused(Refusal refusal) {
+		this.thread.execute(() -> this.run.refused(this, refusal));
 	}
 
 	@Override
@@ -121,8 +123,8 @@
 	}
 
 	@Override
-	public void streamStarted(UpstreamAttempt sender) {
-		this.run.streamStarted(this);
+	public void streamStarted(UpstreamAttempt sender, AnswerHead head) {
+		this.run.streamStarted(this, head);
 	}
 
 	@Override
@@ -146,9 +148,9 @@
 	}
 
 	@Override
-	public void loadReported(UpstreamAttempt sender, int running, int slots, long ageMillis) {
+	public void loadReported(UpstreamAttempt sender, ReportedLoad load) {
 		if (this.grant != null) {
-			this.grant.loadReported(running, slots, ageMillis);
+			this.grant.loadReported(load.running(), load.slots(), load.ageMillis());
 		}
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -12,11 +12,9 @@
 import io.undertow.util.SameThreadExecutor;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.cyclamenstall.catalogue.CatalogueEntry;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.ErrorTable;
 import org.cyclamenstall.errors.RouterException;
-import org.cyclamenstall.settings.CallerSettings;
 import org.xnio.IoUtils;
 
 /**
@@ -27,31 +25,25 @@
 
 	private static final Logger logger = LogManager.getLogger(CallerHandler.class);
 
-	private final RequestResolver resolver;
-
-	private final RequestIdentifiers identifiers;
+	private final CallerProtocol protocol;
 
 	private final GatewayServices services;
 
 	private final BooleanSupplier closesConnections;
 
-	private final int maximumBodyBytes;
-
 	private final Duration requestReadTime;
 
-	CallerHandler(RequestResolver resolver, RequestIdentifiers identifiers, GatewayServices services,
-			BooleanSupplier closesConnections, CallerSettings settings) {
-		this.resolver = resolver;
-		this.identifiers = identifiers;
+	CallerHandler(CallerProtocol protocol, GatewayServices services, BooleanSupplier closesConnections,
+			Duration requestReadTime) {
+		this.protocol = protocol;
 		this.services = services;
 		this.closesConnections = closesConnections;
-		this.maximumBodyBytes = settings.maximumBodyBytes();
-		this.requestReadTime = Duration.ofSeconds(settings.requestReadSeconds());
+		this.requestReadTime = requestReadTime;
 	}
 
 	@Override
 	public void handleRequest(HttpServerExchange exchange) {
-		String requestId = this.identifiers.next();
+		String requestId = this.protocol.identify(exchange);
 		BodyDeadline deadline = BodyDeadline.start(exchange, this.requestReadTime,
 				() -> bodyTimedOut(exchange, requestId));
 		this.services.metrics().opened();
@@ -65,15 +57,15 @@
 			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
 		}
 		try {
-			CatalogueEntry account = this.resolver.authenticate(exchange);
-			checkLength(exchange);
+			ArrivedRequest arrived = this.protocol.arrived(exchange, requestId);
+			checkBound(exchange.getRequestContentLength(), arrived);
 			exchange.getRequestReceiver().receiveFullBytes((received, body) -> {
 				if (deadline.met()) {
-					bodyArrived(received, account, requestId, body);
+					bodyArrived(received, arrived, requestId, body);
 				}
 			}, (failed, ex) -> {
 				if (deadline.met()) {
-					bodyFailed(failed, requestId, ex);
+					bodyFailed(failed, arrived, requestId, ex);
 				}
 			});
 		}
@@ -82,10 +74,10 @@
 		}
 	}
 
-	private void bodyArrived(HttpServerExchange exchange, CatalogueEntry account, String requestId, byte[] body) {
+	private void bodyArrived(HttpServerExchange exchange, ArrivedRequest arrived, String requestId, byte[] body) {
 		try {
-			checkBound(body.length);
-			CallerRequest request = this.resolver.resolve(exchange, account, requestId, body);
+			checkBound(body.length, arrived);
+			CallerRequest request = arrived.withBody(body);
 			exchange.dispatch(SameThreadExecutor.INSTANCE, () -> run(exchange, request));
 		}
 		catch (RouterException ex) {
@@ -103,9 +95,9 @@
 		}
 	}
 
-	private void bodyFailed(HttpServerExchange exchange, String requestId, IOException ex) {
+	private void bodyFailed(HttpServerExchange exchange, ArrivedRequest arrived, String requestId, IOException ex) {
 		if (ex instanceof Receiver.RequestToLargeException) {
-			refuse(exchange, requestId, tooLarge());
+			refuse(exchange, requestId, tooLarge(arrived));
 		}
 		else {
 			logger.debug("Request {} ended before its body", requestId, ex);
@@ -137,24 +129,21 @@
 		}
 	}
 
-	private void checkLength(HttpServerExchange exchange) {
-		checkBound(exchange.getRequestContentLength());
-	}
-
-	private void checkBound(long length) {
-		if (length > this.maximumBodyBytes) {
-			throw tooLarge();
+	private static void checkBound(long length, ArrivedRequest arrived) {
+		if (length > arrived.maximumBodyBytes()) {
+			throw tooLarge(arrived);
 		}
 	}
 
-	private RouterException tooLarge() {
-		return new RouterException(ErrorKind.BODY_TOO_LARGE, "the body exceeds " + this.maximumBodyBytes + " bytes");
+	private static RouterException tooLarge(ArrivedRequest arrived) {
+		return new RouterException(ErrorKind.BODY_TOO_LARGE,
+				"the body exceeds " + arrived.maximumBodyBytes() + " bytes");
 	}
 
 	private void refuse(HttpServerExchange exchange, String requestId, RouterException ex) {
 		this.services.metrics().failed(ex.kind(), ErrorTable.answerFor(ex.kind()).outcome());
 		String detail = (ex.getMessage() != null) ? ex.getMessage() : ex.kind().code();
-		this.services.writer().error(exchange, requestId, ex.kind(), ErrorTable.answerFor(ex.kind()).outcome(), detail);
+		this.services.writer().error(exchange, requestId, ErrorReport.of(ex.kind(), detail));
 	}
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerRequest.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerRequest.java
@@ -1,7 +1,6 @@
 package org.cyclamenstall.internal.gateway;
 
-import io.undertow.util.HeaderMap;
-import io.undertow.util.HttpString;
+import org.cyclamenstall.internal.upstream.UpstreamRequest;
 import org.cyclamenstall.policy.RequestFacts;
 import org.jspecify.annotations.Nullable;
 
@@ -9,14 +8,10 @@
  * Holds a request that passed its checks. The body must not be changed.
  *
  * @param facts what the policy may know of it
- * @param method the HTTP method
- * @param target the path with its query
- * @param headers the headers to pass on
- * @param body the body in bytes
+ * @param upstreamRequest what is sent to upstreams
  * @param idempotencyKey the caller's name for the request, or {@code null} if it has none
  */
-record CallerRequest(RequestFacts facts, HttpString method, String target, HeaderMap headers, byte[] body,
-		@Nullable String idempotencyKey) {
+public record CallerRequest(RequestFacts facts, UpstreamRequest upstreamRequest, @Nullable String idempotencyKey) {
 
 	/**
 	 * Returns whether the request must be claimed before it is sent.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -44,13 +47,13 @@
 	private static final int LISTEN_BACKLOG = 1_000;
 
 	private static final OptionMap WORKER_OPTIONS = OptionMap.builder()
-		.set(Options.WORKER_IO_THREADS, Math.max(2, Runtime.getRuntime().availableProcessors() / 2))
+		.set(Options.WORKER_IO_THREADS, ioThreads())
 		.set(Options.WORKER_TASK_CORE_THREADS, 1)
 		.set(Options.WORKER_TASK_MAX_THREADS, 4)
 		.set(Options.WORKER_NAME, "callers")
 		.getMap();
 
-	private final DaemonSettings settings;
+	private final CallerSettings settings;
 
 	private final GatewayMetrics metrics;
 
@@ -60,14 +63,18 @@
 
 	private final HttpHandler handler;
 
+	private final Map<InetSocketAddress, HttpHandler> otherPorts = new LinkedHashMap<>();
+
 	private volatile boolean closesConnections;
 
 	private @Nullable XnioWorker worker;
 
+	private @Nullable HttpOpenListener callers;
+
 	private @Nullable AcceptingChannel<StreamConnection> listening;
 
 	/**
-	 * Creates a server.
+	 * Creates a server that speaks the product's own protocol.
 	 * @param settings the settings of the daemon
 	 * @param incarnation the start of the daemon, in milliseconds since the epoch
 	 * @param catalogue the catalogue in force
@@ -78,33 +85,82 @@
 	 */
 	public CallerServer(DaemonSettings settings, long incarnation, CatalogueReplica catalogue,
 			TrafficController controller, ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry) {
+		this(settings.callers(), new CatalogueCallerProtocol(settings, incarnation, catalogue, clock), controller,
+				claims, clock, registry);
+	}
+
+	/**
+	 * Creates a server.
+	 * @param settings the settings of the callers' port
+	 * @param protocol the protocol to speak with callers
+	 * @param controller decides on requests
+	 * @param claims claims named requests
+	 * @param clock the monotonic clock
+	 * @param registry takes the metrics
+	 */
+	public CallerServer(CallerSettings settings, CallerProtocol protocol, TrafficController controller,
+			ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry) {
 		this.settings = settings;
 		this.metrics = new GatewayMetrics(registry);
 		GatewayServices services = new GatewayServices(controller, claims, new UpstreamConnections(this.buffers, clock),
-				new AnswerWriter(settings.host()), this.metrics, settings.policy(), clock, this.blockingWork);
-		this.handler = new CallerHandler(new RequestResolver(catalogue, clock),
-				new RequestIdentifiers(settings.host(), incarnation), services, () -> this.closesConnections,
-				settings.callers());
+				protocol.writer(), this.metrics, clock, this.blockingWork);
+		this.handler = new CallerHandler(protocol, services, () -> this.closesConnections,
+				Duration.ofSeconds(settings.requestReadSeconds()));
+	}
+
+	/**
+	 * Adds a port that is served by the same threads; called before the start.
+	 * @param address the address to listen on
+	 * @param portHandler answers without blocking
+	 * @return this server
+	 */
+	public CallerServer withPort(InetSocketAddress address, HttpHandler portHandler) {
+		this.otherPorts.put(address, portHandler);
+		return this;
 	}
 
 	@Override
 	public void start() {
-		CallerSettings callers = this.settings.callers();
-		HttpOpenListener openListener = new HttpOpenListener(this.buffers, serverOptions(callers));
-		openListener.setRootHandler(this.handler);
 		try {
-			this.worker = Xnio.getInstance().createWorker(WORKER_OPTIONS);
-			this.listening = this.worker.createStreamConnectionServer(
-					new InetSocketAddress(callers.address(), callers.port()),
-					ChannelListeners.openListenerAdapter(openListener), socketOptions(callers));
-			this.listening.resumeAccepts();
+			XnioWorker started = Xnio.getInstance().createWorker(WORKER_OPTIONS);
+			this.worker = started;
+			for (Map.Entry<InetSocketAddress, HttpHandler> port : this.otherPorts.entrySet()) {
+				listen(started, port.getKey(), new HttpOpenListener(this.buffers), port.getValue());
+			}
+			InetSocketAddress address = new InetSocketAddress(this.settings.address(), this.settings.port());
+			HttpOpenListener openListener = new HttpOpenListener(this.buffers,
+					serverOptions(this.settings.maximumHeaderBytes(), this.settings.requestReadSeconds(),
+							this.settings.idleSeconds()));
+			this.callers = openListener;
+			this.listening = listen(started, address, openListener, this.handler);
 		}
 		catch (IOException ex) {
 			throw new RouterException(ErrorKind.SETTINGS_INVALID,
-					"cannot listen on " + callers.address() + ":" + callers.port(), ex);
+					"cannot listen on " + this.settings.address() + ":" + this.settings.port(), ex);
+		}
+	}
+
+	/**
+	 * Puts bounds on callers in force for connections that are opened from now on.
+	 * @param headerBytes the largest request head, in bytes
+	 * @param headerTime the longest time to send a request head
+	 * @param idleTime the longest time that a connection may stay without a request
+	 */
+	public void boundCallers(int headerBytes, Duration headerTime, Duration idleTime) {
+		if (this.callers != null) {
+			this.callers.setUndertowOptions(serverOptions(headerBytes, headerTime.toSeconds(), idleTime.toSeconds()));
 		}
 	}
 
+	private AcceptingChannel<StreamConnection> listen(XnioWorker started, InetSocketAddress address,
+			HttpOpenListener openListener, HttpHandler root) throws IOException {
+		openListener.setRootHandler(root);
+		AcceptingChannel<StreamConnection> channel = started.createStreamConnectionServer(address,
+				ChannelListeners.openListenerAdapter(openListener), socketOptions(this.settings));
+		channel.resumeAccepts();
+		return channel;
+	}
+
 	/**
 	 * Returns the address that is listened on.
 	 * @return the address
@@ -147,11 +203,11 @@
 		this.blockingWork.shutdownNow();
 	}
 
-	private static OptionMap serverOptions(CallerSettings callers) {
+	private static OptionMap serverOptions(int headerBytes, long headerSeconds, long idleSeconds) {
 		return OptionMap.builder()
-			.set(UndertowOptions.MAX_HEADER_SIZE, callers.maximumHeaderBytes())
-			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, callers.requestReadSeconds() * MILLIS_PER_SECOND)
-			.set(UndertowOptions.NO_REQUEST_TIMEOUT, callers.idleSeconds() * MILLIS_PER_SECOND)
+			.set(UndertowOptions.MAX_HEADER_SIZE, headerBytes)
+			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) headerSeconds * MILLIS_PER_SECOND)
+			.set(UndertowOptions.NO_REQUEST_TIMEOUT, (int) idleSeconds * MILLIS_PER_SECOND)
 			.getMap();
 	}
 
@@ -165,6 +221,11 @@
 			.getMap();
 	}
 
+	private static int ioThreads() {
+		int processors = Runtime.getRuntime().availableProcessors();
+		return (processors == 1) ? 1 : Math.max(2, processors / 2);
+	}
+
 	private static Thread thread(Runnable task) {
 		Thread thread = new Thread(task, "claims");
 		thread.setDaemon(true);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerStream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerStream.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 
 import io.undertow.server.HttpServerExchange;
 import org.xnio.IoUtils;
@@ -16,8 +15,6 @@
  */
 final class CallerStream {
 
-	private static final byte[] END_MARK = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
-
 	private final HttpServerExchange exchange;
 
 	private final StreamSinkChannel channel;
@@ -43,18 +40,19 @@
 
 	/**
 	 * Writes one event.
-	 * @param data the data of the event
+	 * @param event the event in bytes
 	 */
-	void event(String data) {
-		this.incoming.writeBytes(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+	void event(byte[] event) {
+		this.incoming.writeBytes(event);
 		writeIfFree();
 	}
 
 	/**
 	 * Ends the stream as whole.
+	 * @param endMark the end mark in bytes
 	 */
-	void finish() {
-		this.incoming.writeBytes(END_MARK);
+	void finish(byte[] endMark) {
+		this.incoming.writeBytes(endMark);
 		this.end = End.WHOLE;
 		writeIfFree();
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestResolver.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CatalogueCallerProtocol.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.internal.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 
@@ -13,20 +14,26 @@
 import org.cyclamenstall.catalogue.Catalogue;
 import org.cyclamenstall.catalogue.CatalogueEntry;
 import org.cyclamenstall.catalogue.CatalogueReplica;
+import org.cyclamenstall.catalogue.EntryKind;
 import org.cyclamenstall.catalogue.KeyRequirement;
 import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.internal.upstream.ChatUpstreamProtocol;
+import org.cyclamenstall.internal.upstream.UpstreamConnections;
+import org.cyclamenstall.internal.upstream.UpstreamRequest;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.lib.HeaderNames;
 import org.cyclamenstall.policy.RequestFacts;
+import org.cyclamenstall.settings.DaemonSettings;
+import org.cyclamenstall.settings.PolicySettings;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Finds the client account and the catalogue entry of a request and checks it against
- * them. Thread-safe.
+ * Speaks the product's own protocol: finds the client account and the catalogue entry of
+ * a request and checks it against them. Thread-safe.
  */
-final class RequestResolver {
+final class CatalogueCallerProtocol implements CallerProtocol {
 
 	static final String CHAT_COMPLETIONS_PATH = "/v1/chat/completions";
 
@@ -44,22 +51,62 @@
 			Headers.EXPECT, new HttpString("Keep-Alive"), new HttpString("Proxy-Connection"), PRIORITY,
 			new HttpString(HeaderNames.REQUEST_ID), new HttpString(HeaderNames.RESUME_TOKENS));
 
+	/** The statuses by which an engine declares that it did not execute a request. */
+	private static final Set<Integer> ENGINE_REFUSALS = Set.of(429, 503);
+
+	private static final Duration MAXIMUM_MODEL_ANSWER = Duration.ofMinutes(10);
+
 	private final CatalogueReplica catalogue;
 
+	private final RequestIdentifiers identifiers;
+
+	private final ChatAnswerWriter writer;
+
+	private final int maximumBodyBytes;
+
+	private final PolicySettings policy;
+
 	private final MonotonicClock clock;
 
-	RequestResolver(CatalogueReplica catalogue, MonotonicClock clock) {
+	CatalogueCallerProtocol(DaemonSettings settings, long incarnation, CatalogueReplica catalogue,
+			MonotonicClock clock) {
 		this.catalogue = catalogue;
+		this.identifiers = new RequestIdentifiers(settings.host(), incarnation);
+		this.writer = new ChatAnswerWriter(settings.host());
+		this.maximumBodyBytes = settings.callers().maximumBodyBytes();
+		this.policy = settings.policy();
 		this.clock = clock;
 	}
 
-	/**
-	 * Finds the client account of a request.
-	 * @param exchange the exchange
-	 * @return the account entry
-	 * @throws RouterException of kind {@code NOT_READY} or {@code UNKNOWN_API_KEY}
-	 */
-	CatalogueEntry authenticate(HttpServerExchange exchange) {
+	@Override
+	public String identify(HttpServerExchange exchange) {
+		return this.identifiers.next();
+	}
+
+	@Override
+	public ArrivedRequest arrived(HttpServerExchange exchange, String requestId) {
+		CatalogueEntry account = authenticate(exchange);
+		return new ArrivedRequest() {
+
+			@Override
+			public int maximumBodyBytes() {
+				return CatalogueCallerProtocol.this.maximumBodyBytes;
+			}
+
+			@Override
+			public CallerRequest withBody(byte[] body) {
+				return resolve(exchange, account, requestId, body);
+			}
+
+		};
+	}
+
+	@Override
+	public AnswerWriter writer() {
+		return this.writer;
+	}
+
+	private CatalogueEntry authenticate(HttpServerExchange exchange) {
 		if (!this.catalogue.isLoaded()) {
 			throw new RouterException(ErrorKind.NOT_READY, "this daemon holds no catalogue yet");
 		}
@@ -73,16 +120,7 @@
 			.orElseThrow(() -> new RouterException(ErrorKind.UNKNOWN_API_KEY, "the API key is unknown"));
 	}
 
-	/**
-	 * Checks a request whose body was read.
-	 * @param exchange the exchange
-	 * @param account the client account
-	 * @param requestId the request identifier
-	 * @param body the body in bytes
-	 * @return the checked request
-	 * @throws RouterException if the request is refused
-	 */
-	CallerRequest resolve(HttpServerExchange exchange, CatalogueEntry account, String requestId, byte[] body) {
+	private CallerRequest resolve(HttpServerExchange exchange, CatalogueEntry account, String requestId, byte[] body) {
 		if (exchange.getRequestPath().equals(CHAT_COMPLETIONS_PATH)) {
 			return resolveModel(exchange, account, requestId, body);
 		}
@@ -100,8 +138,7 @@
 		checkBody(entry, body);
 		RequestFacts facts = new RequestFacts(requestId, entry, account, tier(entry, account), this.clock.nanoTime(),
 				parsed.promptTokens(), parsed.maximumTokens(), true, parsed.streamed(), parsed.prefixKey());
-		return new CallerRequest(facts, exchange.getRequestMethod(), target(exchange), passedOn(exchange, facts), body,
-				null);
+		return new CallerRequest(facts, upstreamRequest(exchange, facts, body), null);
 	}
 
 	private CallerRequest resolveService(HttpServerExchange exchange, CatalogueEntry account, String requestId,
@@ -113,8 +150,24 @@
 		String key = idempotencyKey(exchange, entry, idempotent);
 		RequestFacts facts = new RequestFacts(requestId, entry, account, tier(entry, account), this.clock.nanoTime(), 0,
 				0, idempotent, false, null);
-		return new CallerRequest(facts, exchange.getRequestMethod(), target(exchange), passedOn(exchange, facts), body,
-				key);
+		return new CallerRequest(facts, upstreamRequest(exchange, facts, body), key);
+	}
+
+	private UpstreamRequest upstreamRequest(HttpServerExchange exchange, RequestFacts facts, byte[] body) {
+		boolean model = facts.entry().kind() == EntryKind.MODEL;
+		Set<Integer> declared = facts.entry().notExecutedStatuses();
+		ChatUpstreamProtocol protocol = new ChatUpstreamProtocol(model,
+				model ? ENGINE_REFUSALS : (declared != null) ? declared : Set.of());
+		Duration reuse = facts.idempotent() ? UpstreamConnections.MAXIMUM_IDLE : Duration.ZERO;
+		return new UpstreamRequest(protocol, exchange.getRequestMethod(), target(exchange), passedOn(exchange, facts),
+				body, facts.streamed(), reuse, false, null, timeouts(facts, model));
+	}
+
+	private UpstreamRequest.Timeouts timeouts(RequestFacts facts, boolean model) {
+		boolean waitsForWhole = model && !facts.streamed();
+		Duration firstByte = waitsForWhole ? MAXIMUM_MODEL_ANSWER : Duration.ofMillis(this.policy.firstByteMillis());
+		return new UpstreamRequest.Timeouts(Duration.ofMillis(this.policy.connectMillis()), firstByte,
+				Duration.ofMillis(this.policy.tokenGapMillis()));
 	}
 
 	private Catalogue catalogue() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayServices.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayServices.java
@@ -6,7 +6,6 @@
 import org.cyclamenstall.internal.upstream.UpstreamConnections;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.TrafficController;
-import org.cyclamenstall.settings.PolicySettings;
 
 /**
  * Gathers what every request needs. Immutable; each component is thread-safe.
@@ -16,12 +15,10 @@
  * @param connections the connections to upstreams
  * @param writer writes answers
  * @param metrics counts
- * @param policy the bounds on attempts
  * @param clock the monotonic clock
  * @param blockingWork runs what must not block an I/O thread
  */
 record GatewayServices(TrafficController controller, ClaimRegistry claims, UpstreamConnections connections,
-		AnswerWriter writer, GatewayMetrics metrics, PolicySettings policy, MonotonicClock clock,
-		Executor blockingWork) {
+		AnswerWriter writer, GatewayMetrics metrics, MonotonicClock clock, Executor blockingWork) {
 
 }
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/KeyRights.java
@@ -0,0 +1,37 @@
+package org.cyclamenstall.internal.gateway;
+
+import java.time.Duration;
+
+import org.cyclamenstall.internal.follower.Freshness;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides whether API keys may still be believed. A key may have been taken away while
+ * this daemon did not hear of it; with a bound, keys are believed only that long after
+ * the configuration was last confirmed. Thread-safe.
+ */
+public final class KeyRights {
+
+	private final Freshness freshness;
+
+	private final @Nullable Duration bound;
+
+	/**
+	 * Creates a rule.
+	 * @param freshness knows when the configuration was last confirmed
+	 * @param bound how long keys are believed, or {@code null} if for ever
+	 */
+	public KeyRights(Freshness freshness, @Nullable Duration bound) {
+		this.freshness = freshness;
+		this.bound = bound;
+	}
+
+	/**
+	 * Returns whether keys are believed now.
+	 * @return {@code true} if the configuration was confirmed within the bound
+	 */
+	public boolean areConfirmed() {
+		return this.bound == null || this.freshness.isWithin(this.bound);
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RelayProgress.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RelayProgress.java
@@ -1,7 +1,10 @@
 package org.cyclamenstall.internal.gateway;
 
+import org.cyclamenstall.internal.upstream.ResumePoint;
+import org.cyclamenstall.internal.upstream.StreamEvent;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.RequestFacts;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Counts what was relayed of one answer, over all its attempts. Used on the I/O thread of
@@ -15,6 +18,8 @@
 
 	private long tokens;
 
+	private @Nullable String lastEventId;
+
 	private long lastTokenNanos;
 
 	private boolean started;
@@ -41,14 +46,18 @@
 	/**
 	 * Records tokens of a stream.
 	 * @param grant the grant of the attempt
-	 * @param count how many
+	 * @param event the event that carries them
 	 */
-	void streamed(Grant grant, int count) {
+	void streamed(Grant grant, StreamEvent event) {
+		this.lastEventId = (event.id() != null) ? event.id() : this.lastEventId;
+		if (event.tokens() == 0) {
+			return;
+		}
 		long now = this.services.clock().nanoTime();
 		this.services.metrics().token(this.facts.tier(), now - this.lastTokenNanos);
 		this.lastTokenNanos = now;
-		this.tokens += count;
-		grant.tokens(count);
+		this.tokens += event.tokens();
+		grant.tokens(event.tokens());
 	}
 
 	/**
@@ -63,6 +72,14 @@
 		}
 	}
 
+	/**
+	 * Returns how much of the stream the caller has.
+	 * @return the point to go on from
+	 */
+	ResumePoint resumePoint() {
+		return new ResumePoint(this.tokens, this.lastEventId);
+	}
+
 	/**
 	 * Returns the tokens that the caller has.
 	 * @return the count
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestClaim.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestClaim.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.internal.gateway;
 
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.logging.log4j.LogManager;
@@ -10,6 +11,7 @@
 import org.cyclamenstall.claims.ClaimRequest;
 import org.cyclamenstall.claims.StoredAnswer;
 import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.internal.upstream.UpstreamRequest;
 import org.cyclamenstall.internal.upstream.WholeAnswer;
 import org.jspecify.annotations.Nullable;
 
@@ -97,12 +99,23 @@
 
 	private ClaimRequest claimRequest() {
 		String key = this.request.idempotencyKey();
-		String bodyHash = DigestUtils.sha256Hex(
-				this.request.method() + " " + this.request.target() + " " + DigestUtils.sha256Hex(this.request.body()));
+		UpstreamRequest sent = this.request.upstreamRequest();
+		String bodyHash = DigestUtils
+			.sha256Hex(sent.method() + " " + sent.target() + " " + DigestUtils.sha256Hex(sent.body()));
 		return new ClaimRequest(this.request.facts().account().name(), this.request.facts().entry().name(),
 				(key != null) ? key : "", bodyHash, this.request.id());
 	}
 
+	/**
+	 * Returns the stored answer of an earlier request in the form of an answer.
+	 * @param stored the stored answer
+	 * @return the answer
+	 */
+	static WholeAnswer replayed(StoredAnswer stored) {
+		HeaderMap headers = new HeaderMap().put(Headers.CONTENT_TYPE, stored.contentType());
+		return new WholeAnswer(stored.status(), headers, stored.body(), 0);
+	}
+
 	private static StoredAnswer stored(WholeAnswer answer) {
 		String contentType = answer.headers().getFirst(Headers.CONTENT_TYPE);
 		return new StoredAnswer(answer.status(), (contentType != null) ? contentType : DEFAULT_CONTENT_TYPE,
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
@@ -12,17 +12,19 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.ErrorTable;
 import org.cyclamenstall.errors.Outcome;
+import org.cyclamenstall.internal.upstream.AnswerHead;
 import org.cyclamenstall.internal.upstream.AttemptFailure;
+import org.cyclamenstall.internal.upstream.ResumePoint;
 import org.cyclamenstall.internal.upstream.StreamEvent;
 import org.cyclamenstall.internal.upstream.UpstreamAttempt;
-import org.cyclamenstall.internal.upstream.UpstreamRequest;
 import org.cyclamenstall.internal.upstream.WholeAnswer;
 import org.cyclamenstall.policy.AttemptResult;
+import org.cyclamenstall.policy.Refusal;
+import org.cyclamenstall.policy.RequestFacts;
 import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
 import org.cyclamenstall.policy.Ticket;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -33,14 +35,10 @@
  * earlier attempt did not run; the ticket is finished after the last grant ended. Used on
  * the I/O thread of the exchange.
  */
-final class RequestRun implements CallerStream.Listener {
+final class RequestRun implements AnswerRelay.Pace {
 
 	private static final Logger logger = LogManager.getLogger(RequestRun.class);
 
-	private static final Duration MAXIMUM_CALLER_STALL = Duration.ofSeconds(30);
-
-	private static final double MILLIS_PER_SECOND = 1_000;
-
 	private final HttpServerExchange exchange;
 
 	private final CallerRequest request;
@@ -51,7 +49,7 @@
 
 	private final RequestLifecycle lifecycle = new RequestLifecycle();
 
-	private final UpstreamRequest upstreamRequest;
+	private final AnswerRelay answer;
 
 	private final RequestClaim claim;
 
@@ -67,16 +65,13 @@
 
 	private @Nullable AttemptRun winner;
 
-	private @Nullable CallerStream stream;
-
-	private XnioExecutor.@Nullable Key stallTimer;
+	/** How the last attempt failed that may have run. */
+	private ErrorKind unprovenFailure = ErrorKind.UPSTREAM_CONNECTION_LOST;
 
 	private boolean mayHaveRun;
 
 	private boolean callerLeft;
 
-	private boolean callerBlocked;
-
 	private boolean finished;
 
 	RequestRun(HttpServerExchange exchange, CallerRequest request, GatewayServices services) {
@@ -84,7 +79,7 @@
 		this.request = request;
 		this.services = services;
 		this.thread = exchange.getIoThread();
-		this.upstreamRequest = UpstreamRequests.of(request, services.policy());
+		this.answer = new AnswerRelay(exchange, request.id(), services.writer(), this);
 		this.claim = new RequestClaim(request, services.claims());
 		this.progress = new RelayProgress(request.facts(), services);
 	}
@@ -95,13 +90,14 @@
 	void start() {
 		this.watch = CallerWatch.start(this.exchange, this::callerGone);
 		this.lifecycle.moveTo(RequestState.QUEUED);
-		Double answerSeconds = this.request.facts().entry().effectiveLimits().answerSeconds();
-		if (answerSeconds != null) {
-			after(Duration.ofMillis((long) (answerSeconds * MILLIS_PER_SECOND)), this::answerTimedOut);
+		Duration answerWithin = facts().terms().answerWithin();
+		if (answerWithin != null) {
+			long sinceArrival = this.services.clock().nanoTime() - facts().arrivalNanos();
+			after(answerWithin.minusNanos(sinceArrival), this::answerTimedOut);
 		}
 		AttemptRun first = new AttemptRun(this, this.thread);
 		this.outstanding.add(first);
-		this.ticket = this.services.controller().submit(this.request.facts(), first);
+		this.ticket = this.services.controller().submit(facts(), first);
 	}
 
 	/**
@@ -126,13 +122,12 @@
 	/**
 	 * Takes the refusal of an attempt.
 	 * @param run the attempt
-	 * @param kind why
-	 * @param detail the detail for the caller
+	 * @param refusal why, and when to come back
 	 */
-	void refused(AttemptRun run, ErrorKind kind, String detail) {
+	void refused(AttemptRun run, Refusal refusal) {
 		this.outstanding.remove(run);
 		if (this.outstanding.isEmpty()) {
-			fail(kind, detail);
+			fail(refusal);
 		}
 		finishTicket();
 	}
@@ -155,51 +150,62 @@
 		return this.lifecycle.moveTo(RequestState.SENDING);
 	}
 
-	void streamStarted(AttemptRun run) {
-		if (!win(run) || this.stream != null) {
+	void streamStarted(AttemptRun run, AnswerHead head) {
+		if (!win(run) || this.answer.isStreaming()) {
 			return;
 		}
-		this.services.writer().streamHead(this.exchange, this.request.id(), run.grant().upstream().host());
-		this.stream = new CallerStream(this.exchange, this);
+		this.answer.streamHead(run.grant().upstream().host(), head);
 		this.lifecycle.moveTo(RequestState.ANSWERING);
 	}
 
 	void streamEvent(AttemptRun run, StreamEvent event) {
-		if (this.stream == null || run != this.winner) {
+		if (!this.answer.isStreaming() || run != this.winner) {
 			return;
 		}
-		if (event.tokens() > 0) {
-			this.progress.streamed(run.grant(), event.tokens());
-		}
-		this.stream.event(event.data());
-		if (this.callerBlocked) {
+		this.progress.streamed(run.grant(), event);
+		this.answer.event(event);
+		if (this.answer.isBlocked()) {
 			run.suspendReads();
 		}
 	}
 
 	void streamEnded(AttemptRun run) {
 		run.end(AttemptResult.COMPLETED);
-		if (this.stream != null && !hasEnded()) {
+		if (this.answer.isStreaming() && !hasEnded()) {
 			answered();
-			this.stream.finish();
+			this.answer.finishStream();
 		}
 	}
 
-	void wholeAnswer(AttemptRun run, WholeAnswer answer) {
+	void wholeAnswer(AttemptRun run, WholeAnswer whole) {
 		String upstream = run.grant().upstream().host();
+		if (this.request.upstreamRequest().retriesServerErrors() && StatusPromise.isFailure(whole.status())) {
+			failureAnswered(run, upstream, whole);
+			return;
+		}
 		if (!win(run)) {
 			return;
 		}
-		this.progress.whole(run.grant(), answer.tokens());
+		this.progress.whole(run.grant(), whole.tokens());
 		run.end(AttemptResult.COMPLETED);
-		this.claim.complete(answer);
-		if (hasEnded()) {
+		this.claim.complete(whole);
+		deliver(upstream, whole);
+	}
+
+	// Tries elsewhere after an upstream answered that it failed, and passes its answer on
+	// if that is not allowed.
+	private void failureAnswered(AttemptRun run, String upstream, WholeAnswer whole) {
+		run.end(AttemptResult.FAILED);
+		this.mayHaveRun = true;
+		this.unprovenFailure = ErrorKind.UPSTREAM_FAILED;
+		if (hasEnded() || !this.outstanding.isEmpty() || (mayRepeat() && retry(RetryReason.FAILED))) {
 			return;
 		}
-		answered();
-		if (!this.callerLeft) {
-			this.services.writer().whole(this.exchange, this.request.id(), upstream, answer);
+		if (this.answer.isStreaming() || StatusPromise.isMadeBy(whole.status())) {
+			fail(ErrorKind.UPSTREAM_FAILED, "the upstream answered " + whole.status());
+			return;
 		}
+		deliver(upstream, whole);
 	}
 
 	void attemptFailed(AttemptRun run, AttemptFailure failure, String detail) {
@@ -209,6 +215,7 @@
 		}
 		else {
 			this.mayHaveRun = true;
+			this.unprovenFailure = failure.errorKind();
 		}
 		if (run == this.winner) {
 			this.winner = null;
@@ -217,7 +224,7 @@
 			return;
 		}
 		logger.debug("Attempt of {} failed: {} {}", this.request.id(), failure, detail);
-		if (!mayRepeat() || !retry((this.stream != null) ? RetryReason.STREAM_CUT : failure.retryReason())) {
+		if (!mayRepeat() || !retry(this.answer.isStreaming() ? RetryReason.STREAM_CUT : failure.retryReason())) {
 			fail(failure.errorKind(), detail);
 		}
 	}
@@ -250,51 +257,36 @@
 	}
 
 	@Override
-	public void blocked() {
-		this.callerBlocked = true;
+	public void suspend() {
 		if (this.winner != null) {
 			this.winner.suspendReads();
 		}
-		this.stallTimer = this.thread.executeAfter(this::callerStalled, MAXIMUM_CALLER_STALL.toMillis(),
-				TimeUnit.MILLISECONDS);
 	}
 
 	@Override
-	public void drained() {
-		this.callerBlocked = false;
-		stopStallTimer();
+	public void resume() {
 		if (this.winner != null) {
 			this.winner.resumeReads();
 		}
 	}
 
 	@Override
-	public void broken() {
-		callerGone();
-	}
-
-	private void callerStalled() {
-		logger.info("Caller of {} read nothing for {} s", this.request.id(), MAXIMUM_CALLER_STALL.toSeconds());
-		IoUtils.safeClose(this.exchange.getConnection());
-		callerGone();
-	}
-
-	private void callerGone() {
+	public void callerGone() {
 		if (this.callerLeft) {
 			return;
 		}
 		this.callerLeft = true;
-		stopStallTimer();
 		if (hasEnded()) {
 			return;
 		}
 		this.services.metrics().callerLeft();
-		boolean mustGoOn = !this.request.facts().idempotent() && this.lifecycle.state() == RequestState.SENDING;
+		boolean mustGoOn = !facts().idempotent() && !facts().streamed()
+				&& this.lifecycle.state() == RequestState.SENDING;
 		if (!mustGoOn) {
 			conclude(AttemptResult.CANCELLED);
 			this.claim.giveUp(this.mayHaveRun);
 		}
-		this.exchange.endExchange();
+		this.answer.abandon();
 	}
 
 	private void claimDecided(AttemptRun run, ClaimDecision decision) {
@@ -314,8 +306,7 @@
 			return;
 		}
 		if (decision instanceof ClaimDecision.Replayed replayed) {
-			answered();
-			this.services.writer().replay(this.exchange, this.request.id(), replayed.answer());
+			deliver(null, RequestClaim.replayed(replayed.answer()));
 		}
 		else if (decision instanceof ClaimDecision.Refused refusal) {
 			fail(refusal.kind(), refusal.detail());
@@ -323,17 +314,17 @@
 	}
 
 	private void send(AttemptRun run) {
-		this.lifecycle.moveTo((this.stream != null) ? RequestState.ANSWERING : RequestState.CLAIMED);
-		UpstreamAttempt attempt = new UpstreamAttempt(this.upstreamRequest, run.grant().upstream(), this.request.id(),
-				run.grant().attempt(), resumable() ? this.progress.tokens() : 0, this.services.connections(),
-				this.thread, run);
+		this.lifecycle.moveTo(this.answer.isStreaming() ? RequestState.ANSWERING : RequestState.CLAIMED);
+		UpstreamAttempt attempt = new UpstreamAttempt(this.request.upstreamRequest(), run.grant().upstream(),
+				this.request.id(), run.grant().attempt(), resumable() ? this.progress.resumePoint() : ResumePoint.START,
+				this.services.connections(), this.thread, run);
 		scheduleHedge();
 		run.start(attempt);
 	}
 
 	private void scheduleHedge() {
 		Ticket held = this.ticket;
-		if (held == null || this.stream != null || !this.request.facts().idempotent()) {
+		if (held == null || this.answer.isStreaming() || !facts().idempotent()) {
 			return;
 		}
 		held.hedgeDelay().ifPresent((delay) -> after(delay, this::hedge));
@@ -362,14 +353,14 @@
 	}
 
 	private boolean mayRepeat() {
-		if (this.stream != null) {
+		if (this.answer.isStreaming()) {
 			return resumable();
 		}
-		return this.request.facts().idempotent() || !this.mayHaveRun;
+		return facts().idempotent() || !this.mayHaveRun;
 	}
 
 	private boolean resumable() {
-		return Boolean.TRUE.equals(this.request.facts().entry().resumable());
+		return facts().terms().resumable();
 	}
 
 	private boolean retry(RetryReason reason) {
@@ -383,7 +374,7 @@
 			this.outstanding.remove(next);
 			return false;
 		}
-		if (this.stream == null) {
+		if (!this.answer.isStreaming()) {
 			this.lifecycle.moveTo(RequestState.QUEUED);
 		}
 		return true;
@@ -395,30 +386,53 @@
 		}
 		this.mayHaveRun |= this.outstanding.stream().anyMatch(AttemptRun::isSending);
 		fail(this.mayHaveRun ? ErrorKind.UPSTREAM_TIMEOUT : ErrorKind.DEADLINE_EXCEEDED,
-				"no whole answer within the entry's answerSeconds");
+				"no whole answer within the time that the request has");
 	}
 
 	private void fail(ErrorKind kind, String detail) {
+		fail(new Refusal(kind, detail));
+	}
+
+	private void fail(Refusal refusal) {
 		if (hasEnded()) {
 			return;
 		}
 		conclude(AttemptResult.CANCELLED);
-		Outcome outcome = this.claim.giveUp(this.mayHaveRun) ? ErrorTable.answerFor(kind).outcome() : Outcome.UNKNOWN;
-		this.services.metrics().failed(kind, outcome);
-		if (this.callerLeft) {
-			return;
+		boolean certain = this.claim.giveUp(this.mayHaveRun);
+		ErrorReport report = report(refusal, certain);
+		this.services.metrics().failed(report.kind(), report.outcome());
+		if (!this.callerLeft) {
+			this.answer.error(report);
 		}
-		if (this.stream != null) {
-			this.stream.fail(AnswerWriter.errorEvent(AnswerWriter.errorBody(this.request.id(), kind, outcome, detail)));
+	}
+
+	// Words the error. A kind whose status promises that the request did not run is told
+	// only if that is certain.
+	private ErrorReport report(Refusal refusal, boolean certain) {
+		ErrorKind kind = refusal.kind();
+		if (certain) {
+			Duration retryAfter = (refusal.retryAfter() != null) ? refusal.retryAfter()
+					: ErrorTable.answerFor(kind).retryAfter();
+			return new ErrorReport(kind, ErrorTable.answerFor(kind).outcome(), refusal.detail(), retryAfter);
 		}
-		else {
-			this.services.writer().error(this.exchange, this.request.id(), kind, outcome, detail);
+		boolean promises = StatusPromise.isMadeBy(ErrorTable.answerFor(kind).status());
+		return new ErrorReport((promises && this.mayHaveRun) ? this.unprovenFailure : kind, Outcome.UNKNOWN,
+				refusal.detail(), null);
+	}
+
+	private void deliver(@Nullable String upstream, WholeAnswer whole) {
+		if (hasEnded()) {
+			return;
+		}
+		answered();
+		if (!this.callerLeft) {
+			this.answer.whole(upstream, whole);
 		}
 	}
 
 	private void answered() {
 		conclude(AttemptResult.CANCELLED);
-		this.services.metrics().answered(this.request.facts().tier(), this.request.facts().entry().name());
+		this.services.metrics().answered(facts().tier(), facts().entry().name());
 	}
 
 	private void conclude(AttemptResult result) {
@@ -455,15 +469,12 @@
 		return this.lifecycle.state() == RequestState.ENDED;
 	}
 
-	private void after(Duration delay, Runnable task) {
-		this.timers.add(this.thread.executeAfter(task, delay.toMillis(), TimeUnit.MILLISECONDS));
+	private RequestFacts facts() {
+		return this.request.facts();
 	}
 
-	private void stopStallTimer() {
-		if (this.stallTimer != null) {
-			this.stallTimer.remove();
-			this.stallTimer = null;
-		}
+	private void after(Duration delay, Runnable task) {
+		this.timers.add(this.thread.executeAfter(task, Math.max(0, delay.toMillis()), TimeUnit.MILLISECONDS));
 	}
 
 }
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/kernel/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Clocks of the operating system.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.internal.kernel;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
@@ -25,6 +25,7 @@
 import org.cyclamenstall.policy.DemandExchange;
 import org.cyclamenstall.policy.DemandReport;
 import org.cyclamenstall.policy.GrantListener;
+import org.cyclamenstall.policy.Refusal;
 import org.cyclamenstall.policy.RequestFacts;
 import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
@@ -185,7 +186,7 @@
 			return ErrorKind.SHUTTING_DOWN;
 		}
 		RequestFacts facts = ticket.facts();
-		String service = facts.entry().upstreams();
+		String service = facts.terms().service();
 		ServicePool pool = (service != null) ? this.pools.of(service, nowNanos) : null;
 		if (pool == null || !pool.hasLive(nowNanos)) {
 			return ErrorKind.NO_LIVE_UPSTREAM;
@@ -255,8 +256,8 @@
 		if (ticket.attempts() == 0) {
 			settle(ticket, 0);
 		}
-		String detail = RefusalDetail.of(kind, ticket.facts());
-		this.outbox.add(() -> listener.refused(kind, detail));
+		Refusal refusal = new Refusal(kind, RefusalDetail.of(kind, ticket.facts()));
+		this.outbox.add(() -> listener.refused(refusal));
 	}
 
 	boolean withdraw(PolicyTicket ticket) {
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
@@ -0,0 +1,114 @@
+package org.cyclamenstall.internal.policy.placement;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+import org.cyclamenstall.hosts.HostState;
+import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.policy.PromptShape;
+
+/**
+ * Holds what this daemon knows of one upstream. Not thread-safe: the controller's lock
+ * guards it.
+ */
+final class PlacedUpstream {
+
+	/** How long an upstream with work may send nothing before it is taken as silent. */
+	private static final long SILENT_NANOS = 800_000_000L;
+
+	private final Set<PlacementGrant> running = new LinkedHashSet<>();
+
+	private final CachedParts cache;
+
+	private UpstreamTrust trust = new UpstreamTrust();
+
+	private final Slowness slowness = new Slowness();
+
+	private ListedHost host;
+
+	private long unreadTokens;
+
+	private long heardAtNanos;
+
+	PlacedUpstream(ListedHost host, long memoryTokens) {
+		this.host = host;
+		this.cache = new CachedParts(memoryTokens);
+	}
+
+	ListedHost host() {
+		return this.host;
+	}
+
+	void listed(ListedHost newer) {
+		if (newer.incarnation() != this.host.incarnation()) {
+			this.cache.clear();
+			this.slowness.reset();
+			this.trust = new UpstreamTrust();
+		}
+		this.host = newer;
+	}
+
+	boolean isLive() {
+		return this.host.state() == HostState.LIVE;
+	}
+
+	UpstreamTrust trust() {
+		return this.trust;
+	}
+
+	Slowness slowness() {
+		return this.slowness;
+	}
+
+	int inFlight() {
+		return this.running.size();
+	}
+
+	/**
+	 * Returns the prompt tokens that this daemon sent and that are not read yet.
+	 * @return the tokens
+	 */
+	long unreadTokens() {
+		return this.unreadTokens;
+	}
+
+	int uncachedTokens(PromptShape prompt) {
+		return Math.max(0, prompt.promptTokens() - this.cache.cachedTokens(prompt.parts()));
+	}
+
+	/**
+	 * Returns whether the upstream has work of this daemon and sends nothing.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return {@code true} if it is silent
+	 */
+	boolean isSilent(long nowNanos) {
+		if (this.running.isEmpty()) {
+			return false;
+		}
+		long sinceNanos = Math.max(this.heardAtNanos, this.running.iterator().next().startedAtNanos());
+		return nowNanos - sinceNanos > SILENT_NANOS;
+	}
+
+	void started(PlacementGrant grant) {
+		if (this.running.isEmpty()) {
+			this.heardAtNanos = grant.startedAtNanos();
+		}
+		this.running.add(grant);
+		this.unreadTokens += grant.unreadTokens();
+		this.cache.read(grant.facts().terms().prompt().parts());
+	}
+
+	void heard(long nowNanos) {
+		this.heardAtNanos = nowNanos;
+	}
+
+	void read(PlacementGrant grant) {
+		this.unreadTokens -= grant.takeUnreadTokens();
+	}
+
+	void ended(PlacementGrant grant) {
+		this.running.remove(grant);
+		read(grant);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
@@ -0,0 +1,114 @@
+package org.cyclamenstall.internal.policy.placement;
+
+import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.policy.AttemptResult;
+import org.cyclamenstall.policy.Grant;
+import org.cyclamenstall.policy.RequestFacts;
+
+/**
+ * Stands for one attempt at one upstream. Thread-safe: every change goes through the
+ * controller.
+ */
+final class PlacementGrant implements Grant {
+
+	private final PlacementTrafficController controller;
+
+	private final PlacementTicket ticket;
+
+	private final PlacedUpstream upstream;
+
+	private final ListedHost host;
+
+	private final int attempt;
+
+	private final long startedAtNanos;
+
+	private int unreadTokens;
+
+	private boolean answering;
+
+	private boolean ended;
+
+	PlacementGrant(PlacementTrafficController controller, PlacementTicket ticket, PlacedUpstream upstream,
+			long nowNanos) {
+		this.controller = controller;
+		this.ticket = ticket;
+		this.upstream = upstream;
+		this.host = upstream.host();
+		this.attempt = ticket.nextAttempt();
+		this.startedAtNanos = nowNanos;
+		this.unreadTokens = upstream.uncachedTokens(ticket.facts().terms().prompt());
+	}
+
+	@Override
+	public ListedHost upstream() {
+		return this.host;
+	}
+
+	@Override
+	public int attempt() {
+		return this.attempt;
+	}
+
+	@Override
+	public void firstToken() {
+		this.controller.firstToken(this);
+	}
+
+	@Override
+	public void tokens(int count) {
+		this.controller.heard(this);
+	}
+
+	@Override
+	public void loadReported(int running, int slots, long ageMillis) {
+	}
+
+	@Override
+	public void upstreamDraining() {
+	}
+
+	@Override
+	public void ended(AttemptResult result) {
+		this.controller.ended(this, result);
+	}
+
+	RequestFacts facts() {
+		return this.ticket.facts();
+	}
+
+	PlacementTicket ticket() {
+		return this.ticket;
+	}
+
+	PlacedUpstream placed() {
+		return this.upstream;
+	}
+
+	long startedAtNanos() {
+		return this.startedAtNanos;
+	}
+
+	int unreadTokens() {
+		return this.unreadTokens;
+	}
+
+	int takeUnreadTokens() {
+		int taken = this.unreadTokens;
+		this.unreadTokens = 0;
+		return taken;
+	}
+
+	boolean startAnswering() {
+		boolean first = !this.answering && !this.ended;
+		this.answering = true;
+		return first;
+	}
+
+	boolean end() {
+		boolean first = !this.ended;
+		this.ended = true;
+		return first;
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptFailure.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptFailure.java
@@ -15,6 +15,9 @@
 	/** The upstream declared that it did not execute the request. */
 	REFUSED(ErrorKind.UPSTREAM_REFUSED, AttemptResult.REFUSED, RetryReason.REFUSED, true),
 
+	/** The upstream answered that it failed. */
+	FAILED(ErrorKind.UPSTREAM_FAILED, AttemptResult.FAILED, RetryReason.FAILED, false),
+
 	/** No byte arrived in time. */
 	TIMED_OUT(ErrorKind.UPSTREAM_TIMEOUT, AttemptResult.TIMED_OUT, RetryReason.TIMED_OUT, false),
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptListener.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptListener.java
@@ -16,8 +16,9 @@
 	/**
 	 * Reports the first event of a stream; the listener may cancel the attempt.
 	 * @param attempt the attempt
+	 * @param head the head of the answer
 	 */
-	void streamStarted(UpstreamAttempt attempt);
+	void streamStarted(UpstreamAttempt attempt, AnswerHead head);
 
 	/**
 	 * Hands over one checked event of a stream.
@@ -50,11 +51,9 @@
 	/**
 	 * Reports the load that the upstream stated in its answer.
 	 * @param attempt the attempt
-	 * @param running its running requests
-	 * @param slots its slots
-	 * @param ageMillis the age of its statement, in milliseconds
+	 * @param load the load
 	 */
-	void loadReported(UpstreamAttempt attempt, int running, int slots, long ageMillis);
+	void loadReported(UpstreamAttempt attempt, ReportedLoad load);
 
 	/**
 	 * Reports that the upstream says it takes no new work.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ModelAnswerChecker.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ChatAnswerChecker.java
@@ -10,7 +10,7 @@
  * Checks the chat-completion objects of a model engine and gives them the caller's
  * request identifier in place of the attempt's. Immutable and thread-safe.
  */
-final class ModelAnswerChecker {
+final class ChatAnswerChecker {
 
 	private static final JsonMapper mapper = JsonMapper.builder().build();
 
@@ -18,7 +18,7 @@
 
 	private final String requestId;
 
-	ModelAnswerChecker(String attemptId, String requestId) {
+	ChatAnswerChecker(String attemptId, String requestId) {
 		this.attemptId = attemptId;
 		this.requestId = requestId;
 	}
@@ -29,12 +29,12 @@
 	 * @return the event for the caller
 	 * @throws InvalidAnswerException if it is malformed or of another attempt
 	 */
-	StreamEvent checkEvent(String data) {
+	CheckedEvent checkEvent(String data) {
 		JsonNode chunk = parse(data);
 		JsonNode choice = chunk.path("choices").path(0);
 		boolean finishing = choice.path("finish_reason").isTextual();
 		boolean token = !choice.path("delta").path("content").asText("").isEmpty();
-		return new StreamEvent(withRequestId(data), token ? 1 : 0, finishing);
+		return new CheckedEvent(withRequestId(data), token ? 1 : 0, finishing);
 	}
 
 	/**
@@ -85,20 +85,13 @@
 	}
 
 	/**
-	 * Reports an answer that must not be relayed.
+	 * Holds a checked event.
+	 *
+	 * @param data the data of the event, one JSON object
+	 * @param tokens the generated tokens that it carries
+	 * @param finishing whether it carries the reason for the end
 	 */
-	static final class InvalidAnswerException extends RuntimeException {
-
-		private final AttemptFailure failure;
-
-		InvalidAnswerException(AttemptFailure failure, String message) {
-			super(message);
-			this.failure = failure;
-		}
-
-		AttemptFailure failure() {
-			return this.failure;
-		}
+	record CheckedEvent(String data, int tokens, boolean finishing) {
 
 	}
 
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/RelayedEventParser.java
@@ -0,0 +1,127 @@
+package org.cyclamenstall.internal.upstream;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Splits a stream into whole events and leaves their bytes as they are. Events must carry
+ * identifiers that are consecutive numbers: what the caller has already is passed over, a
+ * gap is an error. The stream may end after any whole event. Not thread-safe.
+ */
+public final class RelayedEventParser implements StreamParser {
+
+	private static final int MAXIMUM_EVENT_BYTES = 1_048_576;
+
+	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+	private final int tokensPerEvent;
+
+	private final ByteArrayOutputStream event = new ByteArrayOutputStream(256);
+
+	private @Nullable Long lastId;
+
+	private int lineStart;
+
+	private @Nullable String id;
+
+	/**
+	 * Creates a parser.
+	 * @param lastEventId the identifier of the last event that the caller has, or
+	 * {@code null} if the stream may begin anywhere
+	 * @param tokensPerEvent the tokens that one event carries
+	 */
+	public RelayedEventParser(@Nullable String lastEventId, int tokensPerEvent) {
+		this.lastId = (lastEventId != null) ? number(lastEventId) : null;
+		this.tokensPerEvent = tokensPerEvent;
+	}
+
+	@Override
+	public void parse(ByteBuffer bytes, Consumer<StreamEvent> sink) {
+		while (bytes.hasRemaining()) {
+			byte next = bytes.get();
+			this.event.write(next);
+			if (next == '\n') {
+				endLine(sink);
+			}
+			else if (this.event.size() > MAXIMUM_EVENT_BYTES) {
+				throw new InvalidAnswerException(AttemptFailure.TOO_LARGE,
+						"an event exceeds " + MAXIMUM_EVENT_BYTES + " bytes");
+			}
+		}
+	}
+
+	@Override
+	public boolean isFinished() {
+		return false;
+	}
+
+	@Override
+	public boolean mayEndHere() {
+		return this.event.size() == 0;
+	}
+
+	private void endLine(Consumer<StreamEvent> sink) {
+		byte[] bytes = this.event.toByteArray();
+		int end = bytes.length - 1;
+		if (end > this.lineStart && bytes[end - 1] == '\r') {
+			end--;
+		}
+		if (end == this.lineStart) {
+			endEvent(bytes, sink);
+			return;
+		}
+		if (startsWithId(bytes, end)) {
+			this.id = new String(bytes, this.lineStart + ID_FIELD.length, end - this.lineStart - ID_FIELD.length,
+					StandardCharsets.US_ASCII)
+				.trim();
+		}
+		this.lineStart = bytes.length;
+	}
+
+	private boolean startsWithId(byte[] bytes, int end) {
+		if (end - this.lineStart < ID_FIELD.length) {
+			return false;
+		}
+		for (int index = 0; index < ID_FIELD.length; index++) {
+			if (bytes[this.lineStart + index] != ID_FIELD[index]) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private void endEvent(byte[] bytes, Consumer<StreamEvent> sink) {
+		String eventId = this.id;
+		this.event.reset();
+		this.lineStart = 0;
+		this.id = null;
+		if (eventId == null) {
+			throw new InvalidAnswerException(AttemptFailure.MALFORMED, "an event has no identifier");
+		}
+		long number = number(eventId);
+		Long last = this.lastId;
+		if (last != null && number <= last) {
+			return;
+		}
+		if (last != null && number != last + 1) {
+			throw new InvalidAnswerException(AttemptFailure.MALFORMED,
+					"event " + number + " follows event " + last + " of the stream");
+		}
+		this.lastId = number;
+		sink.accept(new StreamEvent(bytes, this.tokensPerEvent, eventId));
+	}
+
+	private static long number(String text) {
+		try {
+			return Long.parseLong(text);
+		}
+		catch (NumberFormatException ex) {
+			throw new InvalidAnswerException(AttemptFailure.MALFORMED, "an event's identifier is not a number");
+		}
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/StreamEvent.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/StreamEvent.java
@@ -1,12 +1,14 @@
 package org.cyclamenstall.internal.upstream;
 
+import org.jspecify.annotations.Nullable;
+
 /**
- * Holds one checked event of a model's stream. Immutable.
+ * Holds one checked event of a stream. The array must not be changed.
  *
- * @param data the data of the event, one JSON object
+ * @param bytes the event as the caller gets it
  * @param tokens the generated tokens that it carries
- * @param finishing whether it carries the reason for the end
+ * @param id its identifier, or {@code null} if it has none
  */
-public record StreamEvent(String data, int tokens, boolean finishing) {
+public record StreamEvent(byte[] bytes, int tokens, @Nullable String id) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -1,61 +1,52 @@
 package org.cyclamenstall.internal.upstream;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
-import io.undertow.client.ClientResponse;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import org.cyclamenstall.hosts.ListedHost;
-import org.cyclamenstall.lib.HeaderNames;
+import org.cyclamenstall.kernel.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSinkChannel;
 
 /**
- * Sends a request to one upstream and reads its answer. An answer without this attempt's
- * identifier is never handed on, and a stream counts as ended only by its end mark. Used
- * on one I/O thread; the listener hears of exactly one end.
+ * Sends a request to one upstream and reads its answer. An answer of another attempt is
+ * never handed on, and an answer counts as whole only if its end is proved. Used on one
+ * I/O thread; the listener hears of exactly one end.
  */
 public final class UpstreamAttempt {
 
-	private static final HttpString REQUEST_ID = new HttpString(HeaderNames.REQUEST_ID);
-
-	private static final HttpString RESUME_TOKENS = new HttpString(HeaderNames.RESUME_TOKENS);
-
-	private static final HttpString DRAINING = new HttpString(HeaderNames.DRAINING);
-
-	private static final int STATUS_OK = 200;
-
-	private static final int STATUS_SERVER_ERROR = 500;
+	private static final long UNKNOWN_MILLIS = -1;
 
 	private final UpstreamRequest request;
 
 	private final ListedHost upstream;
 
-	private final String attemptId;
+	private final String requestId;
 
-	private final ModelAnswerChecker checker;
+	private final int number;
 
-	private final long resumeTokens;
+	private final ResumePoint resume;
 
 	private final UpstreamConnections connections;
 
+	private final MonotonicClock clock;
+
 	private final XnioIoThread thread;
 
 	private final AttemptListener listener;
 
 	private @Nullable ClientConnection connection;
 
+	private @Nullable AnswerHead head;
+
+	private @Nullable BodyWriter body;
+
 	private XnioExecutor.@Nullable Key timer;
 
 	private @Nullable AnswerReader reader;
@@ -74,19 +65,20 @@
 	 * @param upstream the upstream
 	 * @param requestId the identifier of the request
 	 * @param number the number of the attempt
-	 * @param resumeTokens the generated tokens that the caller has already
+	 * @param resume how much of a stream the caller has
 	 * @param connections the connections to upstreams
 	 * @param thread the I/O thread to run on
 	 * @param listener is told of the progress
 	 */
 	public UpstreamAttempt(UpstreamRequest request, ListedHost upstream, String requestId, int number,
-			long resumeTokens, UpstreamConnections connections, XnioIoThread thread, AttemptListener listener) {
+			ResumePoint resume, UpstreamConnections connections, XnioIoThread thread, AttemptListener listener) {
 		this.request = request;
 		this.upstream = upstream;
-		this.attemptId = requestId + "-" + number;
-		this.checker = new ModelAnswerChecker(this.attemptId, requestId);
-		this.resumeTokens = resumeTokens;
+		this.requestId = requestId;
+		this.number = number;
+		this.resume = resume;
 		this.connections = connections;
+		this.clock = connections.clock();
 		this.thread = thread;
 		this.listener = listener;
 	}
@@ -95,8 +87,9 @@
 	 * Connects and sends the request.
 	 */
 	public void start() {
-		this.connections.connect(this.upstream, this.request.reusable(), this.request.timeouts().connect(), this.thread,
-				this::connected, (ex) -> fail(AttemptFailure.UNREACHABLE, "the upstream refused the connection"));
+		this.connections.connect(this.upstream, this.request.maximumReuseIdle(), this.request.timeouts().connect(),
+				this.thread, this::connected,
+				(ex) -> fail(AttemptFailure.UNREACHABLE, "the upstream refused the connection"));
 	}
 
 	/**
@@ -139,92 +132,62 @@
 
 	private void connected(ClientConnection opened) {
 		if (this.ended) {
-			this.connections.release(this.upstream, opened, this.thread);
+			this.connections.release(this.upstream, opened, null, this.thread);
 			return;
 		}
 		this.connection = opened;
 		if (!this.listener.beginSending(this)) {
 			this.ended = true;
-			this.connections.release(this.upstream, opened, this.thread);
+			this.connections.release(this.upstream, opened, null, this.thread);
 			return;
 		}
 		this.sending = true;
+		AttemptTarget sent = new AttemptTarget(this.upstream, this.requestId, this.requestId + "-" + this.number,
+				this.resume, remainingMillis());
 		startTimer(this.request.timeouts().firstByte());
-		opened.sendRequest(head(), new SendCallback());
+		opened.sendRequest(this.request.protocol().head(this.request, sent), new SendCallback(sent));
 	}
 
-	private ClientRequest head() {
-		ClientRequest head = new ClientRequest().setMethod(this.request.method()).setPath(this.request.target());
-		HeaderMap headers = head.getRequestHeaders();
-		this.request.headers().forEach((value) -> headers.addAll(value.getHeaderName(), value));
-		headers.put(Headers.HOST, this.upstream.address() + ":" + this.upstream.port());
-		headers.put(Headers.CONTENT_LENGTH, this.request.body().length);
-		headers.put(REQUEST_ID, this.attemptId);
-		if (this.resumeTokens > 0) {
-			headers.put(RESUME_TOKENS, this.resumeTokens);
+	private long remainingMillis() {
+		Long deadline = this.request.deadlineNanos();
+		if (deadline == null) {
+			return UNKNOWN_MILLIS;
 		}
-		return head;
+		return Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - this.clock.nanoTime()));
 	}
 
-	private void responseArrived(ClientExchange exchange) {
+	private void responseArrived(ClientExchange exchange, AttemptTarget sent) {
 		if (this.ended) {
 			return;
 		}
-		ClientResponse response = exchange.getResponse();
-		HeaderMap headers = response.getResponseHeaders();
-		reportLoad(headers);
-		if (isRefusal(response)) {
-			fail(AttemptFailure.REFUSED, "the upstream answered " + response.getResponseCode());
-			return;
-		}
-		String echoed = headers.getFirst(REQUEST_ID);
-		if ((echoed != null) ? !echoed.equals(this.attemptId) : this.request.model()) {
-			fail(AttemptFailure.MISMATCHED, "the answer does not carry the identifier of this attempt");
-			return;
-		}
-		if (this.request.model() && response.getResponseCode() >= STATUS_SERVER_ERROR) {
-			fail(AttemptFailure.MALFORMED, "the engine answered " + response.getResponseCode());
-			return;
-		}
-		startTimer(this.request.timeouts().gap());
-		this.reader = readerFor(response);
-		this.reader.start(exchange.getResponseChannel());
-	}
-
-	private AnswerReader readerFor(ClientResponse response) {
-		if (this.request.streamed() && response.getResponseCode() == STATUS_OK) {
-			return new StreamedAnswerReader(this, this.checker, this.listener);
+		AnswerHead arrived = this.request.protocol().read(this.request, sent, exchange.getResponse());
+		this.head = arrived;
+		reportLoad(arrived);
+		switch (arrived.nature()) {
+			case NOT_EXECUTED -> fail(AttemptFailure.REFUSED, "the upstream answered " + arrived.status());
+			case MISMATCHED -> fail(AttemptFailure.MISMATCHED, arrived.detail());
+			case MALFORMED -> fail(AttemptFailure.MALFORMED, arrived.detail());
+			case STREAM -> read(exchange, new StreamedAnswerReader(this, arrived,
+					this.request.protocol().newStreamParser(sent), this.listener));
+			default -> read(exchange, new WholeAnswerReader(this, arrived, sent, this.request.protocol()));
 		}
-		ModelAnswerChecker whole = (this.request.model() && response.getResponseCode() == STATUS_OK) ? this.checker
-				: null;
-		return new WholeAnswerReader(this, response, whole);
 	}
 
-	private boolean isRefusal(ClientResponse response) {
-		return this.request.notExecutedStatuses().contains(response.getResponseCode());
+	private void read(ClientExchange exchange, AnswerReader started) {
+		startTimer(this.request.timeouts().gap());
+		this.reader = started;
+		started.start(exchange.getResponseChannel());
 	}
 
-	private void reportLoad(HeaderMap headers) {
-		int running = number(headers.getFirst(HeaderNames.ENGINE_RUNNING));
-		int slots = number(headers.getFirst(HeaderNames.ENGINE_SLOTS));
-		if (running >= 0 && slots > 0) {
-			this.listener.loadReported(this, running, slots,
-					Math.max(0, number(headers.getFirst(HeaderNames.ENGINE_REPORT_AGE))));
+	private void reportLoad(AnswerHead arrived) {
+		if (arrived.load() != null) {
+			this.listener.loadReported(this, arrived.load());
 		}
-		if (Boolean.parseBoolean(headers.getFirst(DRAINING))) {
+		if (arrived.draining()) {
 			this.listener.upstreamDraining(this);
 		}
 	}
 
-	private static int number(@Nullable String text) {
-		try {
-			return (text != null) ? Integer.parseInt(text) : -1;
-		}
-		catch (NumberFormatException ex) {
-			return -1;
-		}
-	}
-
 	/**
 	 * Reports that bytes of the answer arrived.
 	 */
@@ -264,7 +227,7 @@
 	}
 
 	/**
-	 * Ends the attempt after the end mark of its stream.
+	 * Ends the attempt after the end of its stream.
 	 * @param reusable whether the answer was read to its last byte
 	 */
 	void succeedStream(boolean reusable) {
@@ -274,13 +237,15 @@
 		}
 	}
 
-	private void keepConnection(boolean reusable) {
+	private void keepConnection(boolean answerWasRead) {
 		ClientConnection used = this.connection;
 		if (used == null) {
 			return;
 		}
-		if (reusable && this.request.reusable()) {
-			this.connections.release(this.upstream, used, this.thread);
+		boolean requestWasSent = this.body != null && this.body.isComplete();
+		if (answerWasRead && requestWasSent) {
+			this.connections.release(this.upstream, used, (this.head != null) ? this.head.idleTime() : null,
+					this.thread);
 		}
 		else {
 			IoUtils.safeClose(used);
@@ -298,7 +263,7 @@
 
 	private void startTimer(Duration delay) {
 		this.allowedPause = delay;
-		this.lastProgressNanos = System.nanoTime();
+		this.lastProgressNanos = this.clock.nanoTime();
 		if (this.timer == null) {
 			schedule(delay.toNanos());
 		}
@@ -312,7 +277,7 @@
 		if (this.ended) {
 			return;
 		}
-		long restNanos = this.allowedPause.toNanos() - (System.nanoTime() - this.lastProgressNanos);
+		long restNanos = this.allowedPause.toNanos() - (this.clock.nanoTime() - this.lastProgressNanos);
 		if (restNanos > 0) {
 			schedule(restNanos);
 			return;
@@ -336,15 +301,19 @@
 	 */
 	private final class SendCallback implements ClientCallback<ClientExchange> {
 
+		private final AttemptTarget sent;
+
+		SendCallback(AttemptTarget sent) {
+			this.sent = sent;
+		}
+
 		@Override
 		public void completed(ClientExchange exchange) {
-			exchange.setResponseListener(new ResponseCallback());
-			try {
-				write(exchange.getRequestChannel(), ByteBuffer.wrap(UpstreamAttempt.this.request.body()));
-			}
-			catch (IOException ex) {
-				failed(ex);
-			}
+			exchange.setResponseListener(new ResponseCallback(this.sent));
+			BodyWriter writer = new BodyWriter(exchange.getRequestChannel(), UpstreamAttempt.this.request.body(),
+					this::failed);
+			UpstreamAttempt.this.body = writer;
+			writer.start();
 		}
 
 		@Override
@@ -352,34 +321,6 @@
 			fail(AttemptFailure.CONNECTION_LOST, "the connection to the upstream was lost while sending");
 		}
 
-		private void write(StreamSinkChannel channel, ByteBuffer body) throws IOException {
-			while (body.hasRemaining()) {
-				if (channel.write(body) == 0) {
-					awaitWritable(channel, body);
-					return;
-				}
-			}
-			channel.shutdownWrites();
-			if (!channel.flush()) {
-				awaitWritable(channel, body);
-			}
-			else {
-				channel.suspendWrites();
-			}
-		}
-
-		private void awaitWritable(StreamSinkChannel channel, ByteBuffer body) {
-			channel.getWriteSetter().set((writable) -> {
-				try {
-					write(channel, body);
-				}
-				catch (IOException ex) {
-					failed(ex);
-				}
-			});
-			channel.resumeWrites();
-		}
-
 	}
 
 	/**
@@ -388,9 +329,15 @@
 	 */
 	private final class ResponseCallback implements ClientCallback<ClientExchange> {
 
+		private final AttemptTarget sent;
+
+		ResponseCallback(AttemptTarget sent) {
+			this.sent = sent;
+		}
+
 		@Override
 		public void completed(ClientExchange exchange) {
-			responseArrived(exchange);
+			responseArrived(exchange, this.sent);
 		}
 
 		@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnections.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnections.java
@@ -32,7 +32,8 @@
  */
 public final class UpstreamConnections {
 
-	private static final Duration MAXIMUM_IDLE = Duration.ofSeconds(5);
+	/** Bounds how long a connection without a request is kept. */
+	public static final Duration MAXIMUM_IDLE = Duration.ofSeconds(5);
 
 	private static final int MAXIMUM_IDLE_PER_UPSTREAM = 64;
 
@@ -56,19 +57,28 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Returns the clock that bounds the time of attempts.
+	 * @return the clock
+	 */
+	MonotonicClock clock() {
+		return this.clock;
+	}
+
 	/**
 	 * Gets a connection; exactly one of the two callbacks is called, on the I/O thread.
 	 * @param upstream the upstream
-	 * @param reuse whether an idle connection may be used
+	 * @param maximumIdle the longest time that a kept connection may have been idle; zero
+	 * for a new connection
 	 * @param timeout the longest time to connect
 	 * @param thread the current I/O thread
 	 * @param connected takes the connection
 	 * @param failed is told why there is none
 	 */
-	public void connect(ListedHost upstream, boolean reuse, Duration timeout, XnioIoThread thread,
+	public void connect(ListedHost upstream, Duration maximumIdle, Duration timeout, XnioIoThread thread,
 			Consumer<ClientConnection> connected, Consumer<IOException> failed) {
 		InetSocketAddress address = new InetSocketAddress(upstream.address(), upstream.port());
-		ClientConnection idle = reuse ? takeIdle(thread, address) : null;
+		ClientConnection idle = maximumIdle.isZero() ? null : takeIdle(thread, address, maximumIdle.toNanos());
 		if (idle != null) {
 			connected.accept(idle);
 			return;
@@ -83,22 +93,37 @@
 	 * Keeps a connection whose last answer was read whole.
 	 * @param upstream the upstream
 	 * @param connection the connection
+	 * @param idleTime how long the upstream keeps it, or {@code null} if that is not
+	 * known
 	 * @param thread the current I/O thread
 	 */
-	public void release(ListedHost upstream, ClientConnection connection, XnioIoThread thread) {
+	public void release(ListedHost upstream, ClientConnection connection, @Nullable Duration idleTime,
+			XnioIoThread thread) {
 		InetSocketAddress address = new InetSocketAddress(upstream.address(), upstream.port());
 		Deque<IdleConnection> idle = idle(thread, address);
 		if (!connection.isOpen() || idle.size() >= MAXIMUM_IDLE_PER_UPSTREAM) {
 			IoUtils.safeClose(connection);
 			return;
 		}
-		idle.push(new IdleConnection(connection, this.clock.nanoTime()));
+		long keptNanos = (idleTime != null) ? Math.min(MAXIMUM_IDLE.toNanos(), idleTime.toNanos() / 2)
+				: MAXIMUM_IDLE.toNanos();
+		idle.push(new IdleConnection(connection, this.clock.nanoTime(), keptNanos));
 	}
 
-	private @Nullable ClientConnection takeIdle(XnioIoThread thread, InetSocketAddress address) {
+	// Takes the connection that was used last, and closes those that are too old for any
+	// request.
+	private @Nullable ClientConnection takeIdle(XnioIoThread thread, InetSocketAddress address, long maximumNanos) {
 		Deque<IdleConnection> idle = idle(thread, address);
-		for (IdleConnection next = idle.poll(); next != null; next = idle.poll()) {
-			if (next.connection().isOpen() && this.clock.nanoTime() - next.sinceNanos() < MAXIMUM_IDLE.toNanos()) {
+		long now = this.clock.nanoTime();
+		while (!idle.isEmpty() && !idle.peekLast().isUsable(now)) {
+			IoUtils.safeClose(idle.pollLast().connection());
+		}
+		for (IdleConnection next = idle.peek(); next != null; next = idle.peek()) {
+			if (now - next.sinceNanos() > maximumNanos) {
+				return null;
+			}
+			idle.poll();
+			if (next.isUsable(now)) {
 				return next.connection();
 			}
 			IoUtils.safeClose(next.connection());
@@ -120,8 +145,13 @@
 	 *
 	 * @param connection the connection
 	 * @param sinceNanos when its last request ended, on the monotonic clock
+	 * @param keptNanos how long it may be kept
 	 */
-	private record IdleConnection(ClientConnection connection, long sinceNanos) {
+	private record IdleConnection(ClientConnection connection, long sinceNanos, long keptNanos) {
+
+		boolean isUsable(long nowNanos) {
+			return this.connection.isOpen() && nowNanos - this.sinceNanos < this.keptNanos;
+		}
 
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/WholeAnswerReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/WholeAnswerReader.java
@@ -3,13 +3,11 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 
-import io.undertow.client.ClientResponse;
 import io.undertow.util.Headers;
-import org.jspecify.annotations.Nullable;
 
 /**
- * Gathers a whole answer up to a bound. An answer whose end the transport cannot prove
- * (neither length nor chunks) is treated as cut. Used on one I/O thread.
+ * Gathers a whole answer up to a bound. An answer whose end cannot be proved is treated
+ * as cut. Used on one I/O thread.
  */
 final class WholeAnswerReader extends AnswerReader {
 
@@ -19,16 +17,19 @@
 
 	private static final int STATUS_NOT_MODIFIED = 304;
 
-	private final ClientResponse response;
+	private final AnswerHead head;
 
-	private final @Nullable ModelAnswerChecker checker;
+	private final AttemptTarget target;
+
+	private final UpstreamProtocol protocol;
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-	WholeAnswerReader(UpstreamAttempt attempt, ClientResponse response, @Nullable ModelAnswerChecker checker) {
+	WholeAnswerReader(UpstreamAttempt attempt, AnswerHead head, AttemptTarget target, UpstreamProtocol protocol) {
 		super(attempt);
-		this.response = response;
-		this.checker = checker;
+		this.head = head;
+		this.target = target;
+		this.protocol = protocol;
 	}
 
 	@Override
@@ -45,27 +46,18 @@
 			attempt().fail(AttemptFailure.CONNECTION_LOST, "the answer has no provable end");
 			return;
 		}
-		if (this.checker == null) {
-			attempt().succeed(answer(this.body.toByteArray(), 0));
-			return;
-		}
 		try {
-			ModelAnswerChecker.CheckedBody checked = this.checker.checkWhole(this.body.toByteArray());
-			attempt().succeed(answer(checked.body(), checked.tokens()));
+			attempt().succeed(this.protocol.check(this.target, this.head, this.body.toByteArray()));
 		}
-		catch (ModelAnswerChecker.InvalidAnswerException ex) {
+		catch (InvalidAnswerException ex) {
 			attempt().fail(ex.failure(), ex.getMessage());
 		}
 	}
 
-	private WholeAnswer answer(byte[] bytes, long tokens) {
-		return new WholeAnswer(this.response.getResponseCode(), this.response.getResponseHeaders(), bytes, tokens);
-	}
-
 	private boolean endIsProved() {
-		int status = this.response.getResponseCode();
-		return this.response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
-				|| this.response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING) || status == STATUS_NO_CONTENT
+		int status = this.head.status();
+		return this.protocol.provesEndByClose() || this.head.headers().contains(Headers.CONTENT_LENGTH)
+				|| this.head.headers().contains(Headers.TRANSFER_ENCODING) || status == STATUS_NO_CONTENT
 				|| status == STATUS_NOT_MODIFIED;
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
@@ -32,6 +32,9 @@
 	/** The operators' port. */
 	public static final String OPERATORS = "operators";
 
+	/** The follower of a watched store. */
+	public static final String STORE_FOLLOWER = "store-follower";
+
 	/** The callers' port. */
 	public static final String CALLERS = "callers";
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/AttemptResult.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/AttemptResult.java
@@ -14,6 +14,9 @@
 	/** The upstream declared that it did not execute the request. */
 	REFUSED,
 
+	/** The upstream answered that it failed. */
+	FAILED,
+
 	/** No byte arrived in time. */
 	TIMED_OUT,
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/GrantListener.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/GrantListener.java
@@ -1,7 +1,5 @@
 package org.cyclamenstall.policy;
 
-import org.cyclamenstall.errors.ErrorKind;
-
 /**
  * Is told of the decisions on one attempt.
  */
@@ -15,10 +13,9 @@
 
 	/**
 	 * Refuses the attempt; no grant follows.
-	 * @param kind why
-	 * @param detail the detail for the caller
+	 * @param refusal why, and when to come back
 	 */
-	void refused(ErrorKind kind, String detail);
+	void refused(Refusal refusal);
 
 	/**
 	 * Asks the holder of a grant to cancel its stream, to end the grant with
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/routes/RouteTable.java
@@ -0,0 +1,119 @@
+package org.cyclamenstall.routes;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Holds one version of a deployment's whole configuration with the look-ups that a
+ * request needs. Immutable and therefore thread-safe.
+ */
+public final class RouteTable {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByVirtualHost;
+
+	private final Map<String, RouteAccount> accountsByKey = new HashMap<>();
+
+	private final Map<String, UpstreamService> services;
+
+	private final CallerBounds callerBounds;
+
+	private final int routeCount;
+
+	private final boolean needsKeys;
+
+	/**
+	 * Creates a table.
+	 * @param version the version of the configuration
+	 * @param routes the routes
+	 * @param accounts the client accounts; none if requests need no key
+	 * @param services the upstream services
+	 * @param callerBounds the bounds on callers
+	 */
+	public RouteTable(long version, Collection<Route> routes, Collection<RouteAccount> accounts,
+			Collection<UpstreamService> services, CallerBounds callerBounds) {
+		this.version = version;
+		this.routeCount = routes.size();
+		this.needsKeys = !accounts.isEmpty();
+		this.routesByVirtualHost = routes.stream()
+			.sorted(Comparator.comparingInt(RouteTable::prefixLength).reversed())
+			.collect(Collectors.groupingBy((route) -> route.terms().virtualHost()));
+		accounts.forEach((account) -> account.apiKeys().forEach((key) -> this.accountsByKey.put(key, account)));
+		this.services = services.stream()
+			.collect(Collectors.toUnmodifiableMap(UpstreamService::name, (service) -> service, (one, other) -> other));
+		this.callerBounds = callerBounds;
+	}
+
+	/**
+	 * Returns the version of the configuration.
+	 * @return the version
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the number of routes.
+	 * @return the count
+	 */
+	public int routeCount() {
+		return this.routeCount;
+	}
+
+	/**
+	 * Finds the route with the longest prefix of a path.
+	 * @param virtualHost the host name of a request, without a port
+	 * @param path the path of the request
+	 * @return the route, or empty if none matches
+	 */
+	public Optional<Route> route(String virtualHost, String path) {
+		return this.routesByVirtualHost.getOrDefault(virtualHost, List.of())
+			.stream()
+			.filter((route) -> path.startsWith(route.terms().pathPrefix()))
+			.findFirst();
+	}
+
+	/**
+	 * Returns whether requests need an API key unless their route is open.
+	 * @return {@code true} if the configuration has accounts
+	 */
+	public boolean needsKeys() {
+		return this.needsKeys;
+	}
+
+	/**
+	 * Finds the client account of an API key.
+	 * @param apiKey the key
+	 * @return the account, or empty if the key is unknown
+	 */
+	public Optional<RouteAccount> account(String apiKey) {
+		return Optional.ofNullable(this.accountsByKey.get(apiKey));
+	}
+
+	/**
+	 * Returns the upstream services by name.
+	 * @return the services
+	 */
+	public Map<String, UpstreamService> services() {
+		return this.services;
+	}
+
+	/**
+	 * Returns the bounds on callers.
+	 * @return the bounds
+	 */
+	public CallerBounds callerBounds() {
+		return this.callerBounds;
+	}
+
+	private static int prefixLength(Route route) {
+		return route.terms().pathPrefix().length();
+	}
+
+}
