Divide engines between long and short prompts; one home for sessions

While an engine reads a 12,000-token prompt the events of all its streams wait for the chunk, so the pause between chat events exceeds its objective. Ruled out: first-event queueing alone (p50 88 ms). Change: daemons agree by hash on engines for long and for short prompts; a session's shared beginning has one home among them, whatever the failure domain.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
@@ -1,9 +1,7 @@
 package org.cyclamenstall.internal.policy.placement;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-import org.apache.commons.codec.digest.MurmurHash3;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenstall.policy.PromptPart;
 import org.cyclamenstall.policy.RequestFacts;
@@ -13,9 +11,8 @@
  * Chooses the upstream where a request is expected to cost least, counted in prompt
  * tokens to read: those of earlier requests, its own that are not cached there, and what
  * running requests, distance and distrust add. Prompts that share their beginning have a
- * home that all daemons of a failure domain agree on without a message. Answers the load
- * patterns of mixed long and short prompts and of sessions that come back. Not
- * thread-safe.
+ * home that all daemons agree on without a message. Answers the load patterns of mixed
+ * long and short prompts and of sessions that come back. Not thread-safe.
  */
 final class LeastCostPlacement implements Placement {
 
@@ -26,10 +23,19 @@
 	private static final double TOKENS_PER_PLAIN_REQUEST = 4_000;
 
 	/** The expected part of a shared beginning that is cached at its home. */
-	private static final double HOME_CACHED = 0.5;
+	private static final double HOME_CACHED = 0.8;
 
-	/** What it costs to leave the failure domain. */
-	private static final double TOKENS_PER_CROSSING = 4_000;
+	/** What it costs a short request or one to a plain service to leave the domain. */
+	private static final double TOKENS_PER_CROSSING = 1_500;
+
+	/** What a long prompt costs on an engine for short ones. */
+	private static final double TOKENS_OF_INTRUSION = 30_000;
+
+	/** What a short request costs on an engine for long prompts. */
+	private static final double TOKENS_OF_EXPOSURE = 8_000;
+
+	/** How much more unread there is than this daemon knows of. */
+	private static final double UNSEEN_FACTOR = 2;
 
 	private static final double TOKENS_PER_FAILURE = 40_000;
 
@@ -48,12 +54,15 @@
 	}
 
 	@Override
-	public @Nullable PlacedUpstream choose(List<PlacedUpstream> upstreams, RequestFacts facts, long nowNanos) {
-		PlacedUpstream home = home(upstreams, facts);
+	public @Nullable PlacedUpstream choose(List<PlacedUpstream> upstreams, EngineDivision division, RequestFacts facts,
+			long nowNanos) {
+		PlacedUpstream home = home(upstreams, division, facts);
 		PlacedUpstream best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (PlacedUpstream candidate : upstreams) {
-			double cost = cost(candidate, facts, candidate == home, nowNanos)
+			double work = (facts.promptTokens() > 0) ? engineWork(candidate, division, facts, candidate == home)
+					: plainWork(candidate);
+			double cost = work * candidate.slowness().factor(nowNanos) + distrust(candidate, nowNanos)
 					+ this.random.nextDouble() * TOKENS_OF_CHANCE;
 			if (cost < bestCost) {
 				best = candidate;
@@ -63,31 +72,37 @@
 		return best;
 	}
 
-	private double cost(PlacedUpstream upstream, RequestFacts facts, boolean home, long nowNanos) {
-		double work = (facts.promptTokens() > 0) ? engineWork(upstream, facts, home) : plainWork(upstream);
-		double cost = work * upstream.slowness().factor(nowNanos);
-		cost += isNear(upstream) ? 0 : TOKENS_PER_CROSSING;
-		cost += upstream.trust().failureShare(nowNanos) * TOKENS_PER_FAILURE;
-		cost += upstream.isSilent(nowNanos) ? TOKENS_OF_SILENCE : 0;
-		return cost;
-	}
-
-	private static double engineWork(PlacedUpstream upstream, RequestFacts facts, boolean home) {
+	private double engineWork(PlacedUpstream upstream, EngineDivision division, RequestFacts facts, boolean home) {
 		double uncached = upstream.uncachedTokens(facts.terms().prompt());
 		if (home) {
 			int shared = sharedTokens(facts.terms().prompt().sharedParts());
 			uncached = Math.min(uncached, facts.promptTokens() - shared * HOME_CACHED);
 		}
-		return upstream.unreadTokens() + uncached + upstream.inFlight() * TOKENS_PER_RUNNING;
+		double work = uncached + upstream.unreadTokens() * UNSEEN_FACTOR + upstream.inFlight() * TOKENS_PER_RUNNING;
+		boolean isLong = EngineDivision.isLong(facts);
+		if (!division.fits(upstream, facts)) {
+			work += isLong ? TOKENS_OF_INTRUSION : TOKENS_OF_EXPOSURE;
+		}
+		return isLong ? work : work + crossing(upstream);
+	}
+
+	private double plainWork(PlacedUpstream upstream) {
+		return (upstream.inFlight() + 1) * TOKENS_PER_PLAIN_REQUEST + crossing(upstream);
+	}
+
+	private double crossing(PlacedUpstream upstream) {
+		return upstream.host().failureDomain().equals(this.failureDomain) ? 0 : TOKENS_PER_CROSSING;
 	}
 
-	private static double plainWork(PlacedUpstream upstream) {
-		return (upstream.inFlight() + 1) * TOKENS_PER_PLAIN_REQUEST;
+	private static double distrust(PlacedUpstream upstream, long nowNanos) {
+		return upstream.trust().failureShare(nowNanos) * TOKENS_PER_FAILURE
+				+ (upstream.isSilent(nowNanos) ? TOKENS_OF_SILENCE : 0);
 	}
 
-	// Finds the home of a shared beginning by rendezvous hashing, in this failure domain
-	// if it has upstreams.
-	private @Nullable PlacedUpstream home(List<PlacedUpstream> upstreams, RequestFacts facts) {
+	// Finds the home of a shared beginning by rendezvous hashing among the engines that
+	// are meant for the request.
+	private static @Nullable PlacedUpstream home(List<PlacedUpstream> upstreams, EngineDivision division,
+			RequestFacts facts) {
 		List<PromptPart> shared = facts.terms().prompt().sharedParts();
 		if (shared.isEmpty()) {
 			return null;
@@ -95,28 +110,16 @@
 		String part = shared.get(shared.size() - 1).id();
 		PlacedUpstream home = null;
 		long best = Long.MIN_VALUE;
-		boolean homeIsNear = false;
 		for (PlacedUpstream candidate : upstreams) {
-			boolean near = isNear(candidate);
-			long score = score(part, candidate);
-			if ((near && !homeIsNear) || (near == homeIsNear && score > best)) {
+			long score = Rendezvous.score(part, candidate.host().host());
+			if (division.fits(candidate, facts) && (home == null || score > best)) {
 				home = candidate;
 				best = score;
-				homeIsNear = near;
 			}
 		}
 		return home;
 	}
 
-	private boolean isNear(PlacedUpstream upstream) {
-		return upstream.host().failureDomain().equals(this.failureDomain);
-	}
-
-	private static long score(String part, PlacedUpstream upstream) {
-		byte[] bytes = (part + '/' + upstream.host().host()).getBytes(StandardCharsets.UTF_8);
-		return MurmurHash3.hash128x64(bytes)[0];
-	}
-
 	private static int sharedTokens(List<PromptPart> shared) {
 		return shared.stream().mapToInt(PromptPart::tokens).sum();
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/Placement.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/Placement.java
@@ -14,10 +14,11 @@
 	/**
 	 * Chooses one upstream.
 	 * @param upstreams the upstreams that may take the attempt
+	 * @param division the engines for long and for short prompts
 	 * @param facts what is known of the request
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the choice, or {@code null} if there is none
 	 */
-	@Nullable PlacedUpstream choose(List<PlacedUpstream> upstreams, RequestFacts facts, long nowNanos);
+	@Nullable PlacedUpstream choose(List<PlacedUpstream> upstreams, EngineDivision division, RequestFacts facts, long nowNanos);
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -29,6 +29,8 @@
 
 	private final Placement placement;
 
+	private EngineDivision division = new EngineDivision(List.of());
+
 	private final WindowedRetryBudget budget;
 
 	PlacementPool(Placement placement, Duration budgetWindow, double budgetShare, int budgetFloor) {
@@ -47,6 +49,8 @@
 			this.upstreamsByName.put(host.host(),
 					(known != null) ? known : new PlacedUpstream(host, DEFAULT_MEMORY_TOKENS));
 		}
+		this.division = new EngineDivision(
+				this.upstreamsByName.values().stream().filter(PlacedUpstream::isLive).toList());
 	}
 
 	boolean hasLive() {
@@ -77,7 +81,7 @@
 				trusted.add(upstream);
 			}
 		}
-		return this.placement.choose(trusted.isEmpty() ? untried : trusted, ticket.facts(), nowNanos);
+		return this.placement.choose(trusted.isEmpty() ? untried : trusted, this.division, ticket.facts(), nowNanos);
 	}
 
 	void firstEvent(PlacementGrant grant, long nowNanos) {
