Keep quiet engines for streams with a tight pause objective; structured events

Change: a third of the engines is kept for streams whose pause objective is short; long prompts never go there while another engine lives. Events are records in one package, written by a thread of their own, bounded a type and second.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
@@ -15,8 +15,10 @@
 import org.cyclamenstall.internal.catalogue.LocalCatalogue;
 import org.cyclamenstall.internal.claims.ClaimRetention;
 import org.cyclamenstall.internal.claims.StoreClaimRegistry;
+import org.cyclamenstall.internal.events.BoundedEventLog;
 import org.cyclamenstall.internal.gateway.CallerServer;
 import org.cyclamenstall.internal.hosts.ConsulHostList;
+import org.cyclamenstall.internal.logging.LogSetup;
 import org.cyclamenstall.internal.operators.OperatorServer;
 import org.cyclamenstall.internal.operators.Readiness;
 import org.cyclamenstall.internal.peers.PeerExchange;
@@ -123,6 +125,8 @@
 	}
 
 	private void registerPlatform() {
+		this.services.register(ServiceNames.EVENTS,
+				new BoundedEventLog(LogSetup.eventSink(), this.clock, this.metrics));
 		this.services.register(ServiceNames.STORE,
 				new ConsulConfigurationStore(this.settings.platform().store(), this.metrics, this.clock, random()));
 		ConsulHostList hosts = this.services.register(ServiceNames.HOST_LIST,
@@ -152,8 +156,9 @@
 				new OperatorServer(this.settings.operators(), this.settings.platform().store().prefix(), store(),
 						this.catalogue, peers(), this::readiness, new UpstreamRows(controller()), this.metrics,
 						this.clock, random()));
-		this.services.register(ServiceNames.CALLERS, new CallerServer(this.settings, this.incarnation, this.catalogue,
-				controller(), claims(), this.clock, this.metrics));
+		this.services.register(ServiceNames.CALLERS,
+				new CallerServer(this.settings, this.incarnation, this.catalogue, controller(), claims(), this.clock,
+						this.metrics, this.services.find(ServiceNames.EVENTS, BoundedEventLog.class)));
 	}
 
 	private Readiness readiness() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -1,14 +1,16 @@
 package org.cyclamenstall.internal.daemon;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.events.Event;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.internal.claims.NoClaims;
+import org.cyclamenstall.internal.events.BoundedEventLog;
 import org.cyclamenstall.internal.follower.FollowedHostList;
 import org.cyclamenstall.internal.follower.Freshness;
 import org.cyclamenstall.internal.follower.StoreFollower;
@@ -16,6 +18,7 @@
 import org.cyclamenstall.internal.gateway.KeyRights;
 import org.cyclamenstall.internal.gateway.RoutedCallerProtocol;
 import org.cyclamenstall.internal.kernel.BootClock;
+import org.cyclamenstall.internal.logging.LogSetup;
 import org.cyclamenstall.internal.operators.Readiness;
 import org.cyclamenstall.internal.policy.placement.PlacementTrafficController;
 import org.cyclamenstall.internal.routes.FollowedRouteTable;
@@ -30,8 +33,6 @@
  */
 public final class RoutedDaemon implements AutoCloseable {
 
-	private static final Logger logger = LogManager.getLogger(RoutedDaemon.class);
-
 	private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
 	/** How long a daemon that is shutting down still serves new requests at least. */
@@ -39,6 +40,10 @@
 
 	private final RoutedDaemonSettings settings;
 
+	private final long incarnation = System.currentTimeMillis();
+
+	private final EventLog events;
+
 	private final MonotonicClock clock = MonotonicClock.SYSTEM;
 
 	private final PrometheusRegistry metrics = new PrometheusRegistry();
@@ -53,6 +58,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile boolean wasReady;
+
 	/**
 	 * Creates a daemon.
 	 * @param settings the settings
@@ -60,20 +67,22 @@
 	 */
 	public RoutedDaemon(RoutedDaemonSettings settings, RoutedDeployment deployment) {
 		this.settings = settings;
+		BoundedEventLog events = this.services.register(ServiceNames.EVENTS,
+				new BoundedEventLog(LogSetup.eventSink(), this.clock, this.metrics));
+		this.events = events;
 		this.keys = new KeyRights(this.freshness, settings.keyBound());
-		this.routes = new FollowedRouteTable(deployment.configurationKey(), deployment.configurations());
-		FollowedHostList hosts = new FollowedHostList(deployment.hostsPrefix(), deployment.hosts(), this.clock);
+		this.routes = new FollowedRouteTable(deployment.configurationKey(), deployment.configurations(), events);
+		FollowedHostList hosts = new FollowedHostList(deployment.hostsPrefix(), deployment.hosts(), this.clock, events);
 		StoreFollower follower = new StoreFollower(deployment.store(), deployment.watchedPrefix(), this.freshness,
-				random());
+				random(), events);
 		follower.addListener(this.routes);
 		follower.addListener(hosts);
 		this.services.register(ServiceNames.TRAFFIC, new PlacementTrafficController(settings.placement(), hosts,
-				settings.failureDomain(), this.clock, random()));
+				settings.failureDomain(), this.clock, random(), events));
 		RoutedCallerProtocol protocol = new RoutedCallerProtocol(this.routes, this.keys, deployment.heads(),
-				deployment.upstreams(), deployment.answers(), settings.host(), System.currentTimeMillis(), this.clock,
-				random());
+				deployment.upstreams(), deployment.answers(), settings.host(), this.incarnation, this.clock, random());
 		CallerServer server = new CallerServer(settings.callers(), protocol, controller(), new NoClaims(), this.clock,
-				this.metrics)
+				this.metrics, events)
 			.withPort(settings.readiness(), new ProbeHandler(settings.readinessPath(), this::readiness));
 		this.services.register(ServiceNames.CALLERS, server);
 		this.services.register(ServiceNames.STORE_FOLLOWER, follower);
@@ -85,7 +94,7 @@
 	 */
 	public void start() {
 		this.services.start();
-		logger.info("Daemon {} started", this.settings.host());
+		this.events.record(new Event.DaemonStarted(this.settings.host(), this.incarnation));
 	}
 
 	/**
@@ -94,7 +103,7 @@
 	 * @param signal cuts the shutdown short when it is raised again
 	 */
 	public void shutDown(ShutdownSignal signal) {
-		logger.info("Shutdown begins; {} requests are open", callers().openRequests());
+		this.events.record(new Event.ShutdownBegun(callers().openRequests()));
 		this.leaving = true;
 		callers().closeConnectionsAfterAnswers();
 		long startedAtNanos = this.clock.nanoTime();
@@ -103,7 +112,8 @@
 				break;
 			}
 		}
-		logger.info("Shutdown ends; {} requests are open", callers().openRequests());
+		this.events.record(new Event.ShutdownEnded(callers().openRequests(),
+				TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - startedAtNanos)));
 	}
 
 	private boolean isDone(long startedAtNanos) {
@@ -120,6 +130,15 @@
 	}
 
 	private Readiness readiness() {
+		Readiness now = judgeReadiness();
+		if (now.ready() != this.wasReady) {
+			this.wasReady = now.ready();
+			this.events.record(new Event.ReadinessChanged(now.ready(), now.reason()));
+		}
+		return now;
+	}
+
+	private Readiness judgeReadiness() {
 		if (this.leaving) {
 			return new Readiness(false, ErrorKind.SHUTTING_DOWN.code());
 		}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/events/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Writing events without ever waiting.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.internal.events;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/FollowedHostList.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/FollowedHostList.java
@@ -6,14 +6,15 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.events.Event;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.HostCodec;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
@@ -31,8 +32,6 @@
  */
 public final class FollowedHostList implements HostList, StoreListener {
 
-	private static final Logger logger = LogManager.getLogger(FollowedHostList.class);
-
 	/** How long after an outage a living upstream may take to register again. */
 	private static final Duration REGISTRATION_TIME = Duration.ofMillis(2_200);
 
@@ -50,6 +49,8 @@
 
 	private final MonotonicClock clock;
 
+	private final EventLog events;
+
 	private volatile HostSnapshot snapshot = HostSnapshot.EMPTY;
 
 	private boolean storeLost;
@@ -63,11 +64,13 @@
 	 * @param prefix the prefix of the keys that describe upstreams
 	 * @param codec decodes the records
 	 * @param clock the monotonic clock
+	 * @param events takes the events
 	 */
-	public FollowedHostList(String prefix, HostCodec codec, MonotonicClock clock) {
+	public FollowedHostList(String prefix, HostCodec codec, MonotonicClock clock, EventLog events) {
 		this.prefix = prefix;
 		this.codec = codec;
 		this.clock = clock;
+		this.events = events;
 	}
 
 	@Override
@@ -142,7 +145,7 @@
 		this.settling = false;
 		boolean changed = false;
 		for (String key : this.lapsed) {
-			changed |= drop(key, "did not register again after the outage of the store");
+			changed |= drop(key, "it did not register again after the outage of the store");
 		}
 		this.lapsed.clear();
 		publishIf(changed);
@@ -153,15 +156,14 @@
 		this.lapsed.remove(record.key());
 		Optional<ListedHost> host = this.codec.decode(record);
 		if (host.isEmpty()) {
-			logger.warn("The record {} at version {} describes no upstream", record.key(), record.version());
-			return drop(record.key(), "has an unreadable record");
+			this.events.record(new Event.UpstreamRecordUnreadable(record.key(), record.version()));
+			return drop(record.key(), "its record is unreadable");
 		}
 		ListedHost before = this.hosts.put(record.key(), host.get());
 		if (host.get().equals(before)) {
 			return false;
 		}
-		logger.info("Upstream {} of {} is {} at {}:{}", host.get().host(), host.get().service(), host.get().state(),
-				host.get().address(), host.get().port());
+		this.events.record(listedEvent(host.get(), record.version()));
 		return true;
 	}
 
@@ -173,7 +175,7 @@
 			this.lapsed.add(key);
 			return false;
 		}
-		return drop(key, "has no record any more");
+		return drop(key, "it has no record any more");
 	}
 
 	private boolean drop(String key, String reason) {
@@ -181,10 +183,15 @@
 		if (dropped == null) {
 			return false;
 		}
-		logger.info("Upstream {} of {} is gone: it {}", dropped.host(), dropped.service(), reason);
+		this.events.record(new Event.UpstreamGone(dropped.host(), dropped.service(), reason));
 		return true;
 	}
 
+	private static Event listedEvent(ListedHost host, long storeVersion) {
+		return new Event.UpstreamListed(host.host(), host.service(), host.address() + ":" + host.port(),
+				host.state().name().toLowerCase(Locale.ROOT), storeVersion);
+	}
+
 	private void publishIf(boolean changed) {
 		if (!changed) {
 			return;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/StoreFollower.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/StoreFollower.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.events.Event;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.kernel.Service;
 import org.cyclamenstall.store.StoreChange;
 import org.cyclamenstall.store.StoreChanges;
@@ -46,6 +49,8 @@
 
 	private final UniformRandomProvider random;
 
+	private final EventLog events;
+
 	private @Nullable Thread thread;
 
 	private volatile boolean closed;
@@ -54,6 +59,8 @@
 
 	private boolean lost;
 
+	private long lostAtNanos;
+
 	private long index;
 
 	/**
@@ -62,12 +69,15 @@
 	 * @param prefix the prefix of the keys to follow
 	 * @param freshness is told of each answer
 	 * @param random the source of jitter
+	 * @param events takes the events
 	 */
-	public StoreFollower(WatchedStore store, String prefix, Freshness freshness, UniformRandomProvider random) {
+	public StoreFollower(WatchedStore store, String prefix, Freshness freshness, UniformRandomProvider random,
+			EventLog events) {
 		this.store = store;
 		this.prefix = prefix;
 		this.freshness = freshness;
 		this.random = random;
+		this.events = events;
 	}
 
 	/**
@@ -159,20 +169,22 @@
 	private void answered() {
 		if (this.lost) {
 			this.lost = false;
-			logger.info("The store answers again");
+			this.events.record(new Event.StoreRegained(
+					TimeUnit.NANOSECONDS.toMillis(this.freshness.nowNanos() - this.lostAtNanos)));
 			this.listeners.forEach(StoreListener::regained);
 		}
 	}
 
 	private void failed(RouterException ex) {
 		if (ex.kind() == ErrorKind.STORE_HISTORY_LOST) {
-			logger.info("The store lost its history after index {}; everything is listed again", this.index);
+			this.events.record(new Event.StoreHistoryLost(this.index));
 			this.listed = false;
 			return;
 		}
 		if (!this.lost) {
 			this.lost = true;
-			logger.warn("The store does not answer: {}", ex.getMessage());
+			this.lostAtNanos = this.freshness.nowNanos();
+			this.events.record(new Event.StoreLost(String.valueOf(ex.getMessage()), this.index));
 			this.listeners.forEach(StoreListener::lost);
 		}
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -143,6 +143,7 @@
 	private void refuse(HttpServerExchange exchange, String requestId, RouterException ex) {
 		this.services.metrics().failed(ex.kind(), ErrorTable.answerFor(ex.kind()).outcome());
 		String detail = (ex.getMessage() != null) ? ex.getMessage() : ex.kind().code();
+		this.services.events().record(this.protocol.refused(requestId, ex.kind(), detail));
 		this.services.writer().error(exchange, requestId, ErrorReport.of(ex.kind(), detail));
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerProtocol.java
@@ -1,6 +1,8 @@
 package org.cyclamenstall.internal.gateway;
 
 import io.undertow.server.HttpServerExchange;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.events.Event;
 
 /**
  * Speaks one protocol with callers: reads their requests and writes the answers.
@@ -24,6 +26,15 @@
 	 */
 	ArrivedRequest arrived(HttpServerExchange exchange, String requestId);
 
+	/**
+	 * Describes the refusal of a request with what decided it.
+	 * @param requestId the identifier of the request
+	 * @param kind the error kind
+	 * @param detail the detail for the caller
+	 * @return the event
+	 */
+	Event refused(String requestId, ErrorKind kind, String detail);
+
 	/**
 	 * Returns the writer of answers.
 	 * @return the writer
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -17,6 +17,7 @@
 import org.cyclamenstall.claims.ClaimRegistry;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.internal.upstream.UpstreamConnections;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.Service;
@@ -85,8 +86,25 @@
 	 */
 	public CallerServer(DaemonSettings settings, long incarnation, CatalogueReplica catalogue,
 			TrafficController controller, ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry) {
+		this(settings, incarnation, catalogue, controller, claims, clock, registry, EventLog.NONE);
+	}
+
+	/**
+	 * Creates a server that speaks the product's own protocol and tells its events.
+	 * @param settings the settings of the daemon
+	 * @param incarnation the start of the daemon, in milliseconds since the epoch
+	 * @param catalogue the catalogue in force
+	 * @param controller decides on requests
+	 * @param claims claims named requests
+	 * @param clock the monotonic clock
+	 * @param registry takes the metrics
+	 * @param events takes the events
+	 */
+	public CallerServer(DaemonSettings settings, long incarnation, CatalogueReplica catalogue,
+			TrafficController controller, ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry,
+			EventLog events) {
 		this(settings.callers(), new CatalogueCallerProtocol(settings, incarnation, catalogue, clock), controller,
-				claims, clock, registry);
+				claims, clock, registry, events);
 	}
 
 	/**
@@ -97,13 +115,14 @@
 	 * @param claims claims named requests
 	 * @param clock the monotonic clock
 	 * @param registry takes the metrics
+	 * @param events takes the events
 	 */
 	public CallerServer(CallerSettings settings, CallerProtocol protocol, TrafficController controller,
-			ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry) {
+			ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry, EventLog events) {
 		this.settings = settings;
 		this.metrics = new GatewayMetrics(registry);
 		GatewayServices services = new GatewayServices(controller, claims, new UpstreamConnections(this.buffers, clock),
-				protocol.writer(), this.metrics, clock, this.blockingWork);
+				protocol.writer(), this.metrics, events, clock, this.blockingWork);
 		this.handler = new CallerHandler(protocol, services, () -> this.closesConnections,
 				Duration.ofSeconds(settings.requestReadSeconds()));
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CatalogueCallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CatalogueCallerProtocol.java
@@ -19,6 +19,7 @@
 import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.events.Event;
 import org.cyclamenstall.internal.upstream.ChatUpstreamProtocol;
 import org.cyclamenstall.internal.upstream.UpstreamConnections;
 import org.cyclamenstall.internal.upstream.UpstreamRequest;
@@ -101,6 +102,11 @@
 		};
 	}
 
+	@Override
+	public Event refused(String requestId, ErrorKind kind, String detail) {
+		return new Event.RequestRefused(requestId, kind.code(), detail, this.catalogue.current().revision(), 0);
+	}
+
 	@Override
 	public AnswerWriter writer() {
 		return this.writer;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayServices.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayServices.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 
 import org.cyclamenstall.claims.ClaimRegistry;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.internal.upstream.UpstreamConnections;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.TrafficController;
@@ -15,10 +16,11 @@
  * @param connections the connections to upstreams
  * @param writer writes answers
  * @param metrics counts
+ * @param events takes the events
  * @param clock the monotonic clock
  * @param blockingWork runs what must not block an I/O thread
  */
 record GatewayServices(TrafficController controller, ClaimRegistry claims, UpstreamConnections connections,
-		AnswerWriter writer, GatewayMetrics metrics, MonotonicClock clock, Executor blockingWork) {
+		AnswerWriter writer, GatewayMetrics metrics, EventLog events, MonotonicClock clock, Executor blockingWork) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/KeyRights.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/KeyRights.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.internal.gateway;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 import org.cyclamenstall.internal.follower.Freshness;
 import org.jspecify.annotations.Nullable;
@@ -34,4 +35,12 @@
 		return this.bound == null || this.freshness.isWithin(this.bound);
 	}
 
+	/**
+	 * Returns how long ago the configuration was last confirmed.
+	 * @return the age in milliseconds
+	 */
+	long confirmedMillisAgo() {
+		return TimeUnit.NANOSECONDS.toMillis(this.freshness.ageNanos());
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RelayProgress.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RelayProgress.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.internal.gateway;
 
+import java.util.concurrent.TimeUnit;
+
 import org.cyclamenstall.internal.upstream.ResumePoint;
 import org.cyclamenstall.internal.upstream.StreamEvent;
 import org.cyclamenstall.policy.Grant;
@@ -22,6 +24,10 @@
 
 	private long lastTokenNanos;
 
+	private long firstNanos;
+
+	private long longestPauseNanos;
+
 	private boolean started;
 
 	RelayProgress(RequestFacts facts, GatewayServices services) {
@@ -38,6 +44,7 @@
 		long now = this.services.clock().nanoTime();
 		if (!this.started) {
 			this.started = true;
+			this.firstNanos = now - this.facts.arrivalNanos();
 			this.services.metrics().firstToken(this.facts.tier(), now - this.facts.arrivalNanos());
 		}
 		this.lastTokenNanos = now;
@@ -54,6 +61,7 @@
 			return;
 		}
 		long now = this.services.clock().nanoTime();
+		this.longestPauseNanos = Math.max(this.longestPauseNanos, now - this.lastTokenNanos);
 		this.services.metrics().token(this.facts.tier(), now - this.lastTokenNanos);
 		this.lastTokenNanos = now;
 		this.tokens += event.tokens();
@@ -72,6 +80,22 @@
 		}
 	}
 
+	/**
+	 * Returns the time to the first event or to the whole answer.
+	 * @return the time in milliseconds
+	 */
+	long firstMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(this.firstNanos);
+	}
+
+	/**
+	 * Returns the longest pause between two events.
+	 * @return the pause in milliseconds
+	 */
+	long longestPauseMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(this.longestPauseNanos);
+	}
+
 	/**
 	 * Returns how much of the stream the caller has.
 	 * @return the point to go on from
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
@@ -6,8 +6,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.claims.ClaimDecision;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.ErrorTable;
@@ -37,7 +35,7 @@
  */
 final class RequestRun implements AnswerRelay.Pace {
 
-	private static final Logger logger = LogManager.getLogger(RequestRun.class);
+	private static final int STATUS_OK = 200;
 
 	private final HttpServerExchange exchange;
 
@@ -55,6 +53,8 @@
 
 	private final RelayProgress progress;
 
+	private final RequestJournal journal;
+
 	private final List<AttemptRun> outstanding = new ArrayList<>();
 
 	private final List<XnioExecutor.Key> timers = new ArrayList<>();
@@ -82,6 +82,7 @@
 		this.answer = new AnswerRelay(exchange, request.id(), services.writer(), this);
 		this.claim = new RequestClaim(request, services.claims());
 		this.progress = new RelayProgress(request.facts(), services);
+		this.journal = new RequestJournal(request.facts(), services);
 	}
 
 	/**
@@ -170,17 +171,21 @@
 	}
 
 	void streamEnded(AttemptRun run) {
+		String upstream = run.grant().upstream().host();
 		run.end(AttemptResult.COMPLETED);
 		if (this.answer.isStreaming() && !hasEnded()) {
 			answered();
+			this.journal.answered(upstream, STATUS_OK, this.progress);
 			this.answer.finishStream();
 		}
 	}
 
 	void wholeAnswer(AttemptRun run, WholeAnswer whole) {
 		String upstream = run.grant().upstream().host();
+		RequestJournal.Attempt ended = this.journal.attempt(run.grant());
 		if (this.request.upstreamRequest().retriesServerErrors() && StatusPromise.isFailure(whole.status())) {
 			failureAnswered(run, upstream, whole);
+			this.journal.failureAnswered(ended, whole.status(), hasEnded() ? "passed on" : "tried again");
 			return;
 		}
 		if (!win(run)) {
@@ -209,6 +214,7 @@
 	}
 
 	void attemptFailed(AttemptRun run, AttemptFailure failure, String detail) {
+		RequestJournal.Attempt ended = this.journal.attempt(run.grant());
 		run.end(failure.attemptResult());
 		if (failure.provesNotRun()) {
 			this.claim.provedNotRun();
@@ -221,10 +227,13 @@
 			this.winner = null;
 		}
 		if (hasEnded() || !this.outstanding.isEmpty()) {
+			this.journal.attemptFailed(ended, failure, detail, "another attempt goes on");
 			return;
 		}
-		logger.debug("Attempt of {} failed: {} {}", this.request.id(), failure, detail);
-		if (!mayRepeat() || !retry(this.answer.isStreaming() ? RetryReason.STREAM_CUT : failure.retryReason())) {
+		boolean again = mayRepeat()
+				&& retry(this.answer.isStreaming() ? RetryReason.STREAM_CUT : failure.retryReason());
+		this.journal.attemptFailed(ended, failure, detail, again ? "tried again" : "given up");
+		if (!again) {
 			fail(failure.errorKind(), detail);
 		}
 	}
@@ -280,9 +289,9 @@
 			return;
 		}
 		this.services.metrics().callerLeft();
-		boolean mustGoOn = !facts().idempotent() && !facts().streamed()
-				&& this.lifecycle.state() == RequestState.SENDING;
-		if (!mustGoOn) {
+		boolean goesOn = !facts().idempotent() && !facts().streamed() && this.lifecycle.state() == RequestState.SENDING;
+		this.journal.callerLeft(goesOn);
+		if (!goesOn) {
 			conclude(AttemptResult.CANCELLED);
 			this.claim.giveUp(this.mayHaveRun);
 		}
@@ -401,6 +410,7 @@
 		boolean certain = this.claim.giveUp(this.mayHaveRun);
 		ErrorReport report = report(refusal, certain);
 		this.services.metrics().failed(report.kind(), report.outcome());
+		this.journal.failed(report);
 		if (!this.callerLeft) {
 			this.answer.error(report);
 		}
@@ -425,6 +435,7 @@
 			return;
 		}
 		answered();
+		this.journal.answered((upstream != null) ? upstream : "", whole.status(), this.progress);
 		if (!this.callerLeft) {
 			this.answer.whole(upstream, whole);
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
@@ -10,6 +10,7 @@
 import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.events.Event;
 import org.cyclamenstall.internal.upstream.UpstreamConnections;
 import org.cyclamenstall.internal.upstream.UpstreamProtocol;
 import org.cyclamenstall.internal.upstream.UpstreamRequest;
@@ -86,6 +87,12 @@
 		return (given != null) ? given : this.identifiers.next();
 	}
 
+	@Override
+	public Event refused(String requestId, ErrorKind kind, String detail) {
+		return new Event.RequestRefused(requestId, kind.code(), detail,
+				this.routes.current().map(RouteTable::version).orElse(0L), this.keys.confirmedMillisAgo());
+	}
+
 	@Override
 	public AnswerWriter writer() {
 		return this.writer;
@@ -167,7 +174,7 @@
 			Duration answerWithin = answerWithin(terms);
 			String service = terms.serviceFor(RoutedCallerProtocol.this.random.nextDouble());
 			RequestTerms requestTerms = new RequestTerms(service, priority, terms.attempts(), terms.objective(),
-					answerWithin, terms.resumable(), this.head.prompt());
+					terms.pauseObjective(), answerWithin, terms.resumable(), this.head.prompt());
 			CatalogueEntry accountEntry = (this.account != null) ? this.account.entry() : NO_ACCOUNT;
 			RequestFacts facts = new RequestFacts(this.requestId, this.route.entry(), accountEntry, tier(priority),
 					this.arrivalNanos, terms.idempotent(), terms.streamed(), null, requestTerms);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EngineDivision.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EngineDivision.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.internal.policy.placement;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -8,43 +9,53 @@
 import org.cyclamenstall.policy.RequestFacts;
 
 /**
- * Divides the engines of a service between long and short prompts. Answers the load
- * pattern of long prompts that come in bursts: while an engine reads one, the events of
- * every other request there come late, so short requests keep to engines of their own.
- * All daemons divide alike without a message, because the order follows from the names
- * alone. Immutable.
+ * Sets part of the engines of a service aside for streams whose events must not pause.
+ * Answers the load pattern of long prompts that come in bursts: while an engine reads
+ * them, the events of every other request there come late. All daemons divide alike
+ * without a message, because the order follows from the names alone. Immutable.
  */
 final class EngineDivision {
 
 	/** The prompt from which a request counts as long, in tokens. */
-	static final int LONG_PROMPT_TOKENS = 4_096;
+	private static final int LONG_PROMPT_TOKENS = 4_096;
 
-	/** The part of the engines that long prompts use. */
-	private static final double LONG_PART = 0.6;
+	/** The pause objective up to which a stream needs a quiet engine. */
+	private static final Duration LONGEST_QUIET_PAUSE = Duration.ofMillis(350);
 
-	private final Set<String> longEngines = new HashSet<>();
+	/** The part of the engines that is kept free of long prompts. */
+	private static final double QUIET_PART = 1.0 / 3;
+
+	private final Set<String> quietEngines = new HashSet<>();
 
 	/**
 	 * Divides engines.
 	 * @param live the engines that take work
 	 */
 	EngineDivision(List<PlacedUpstream> live) {
-		long count = Math.round(live.size() * LONG_PART);
 		live.stream()
 			.map((upstream) -> upstream.host().host())
 			.sorted(Comparator.comparingLong((String name) -> Rendezvous.score("division", name)))
-			.limit(Math.max(1, count))
-			.forEach(this.longEngines::add);
+			.limit((live.size() > 1) ? Math.max(1, Math.round(live.size() * QUIET_PART)) : 0)
+			.forEach(this.quietEngines::add);
 	}
 
 	/**
-	 * Returns whether an engine is meant for a request.
+	 * Returns whether an engine is kept free of long prompts.
 	 * @param upstream the engine
+	 * @return {@code true} if it is for streams that need quiet
+	 */
+	boolean isQuiet(PlacedUpstream upstream) {
+		return this.quietEngines.contains(upstream.host().host());
+	}
+
+	/**
+	 * Returns whether a request belongs on the quiet engines.
 	 * @param facts the request
-	 * @return {@code true} if both are for long or both are for short prompts
+	 * @return {@code true} for a short prompt whose events must not pause
 	 */
-	boolean fits(PlacedUpstream upstream, RequestFacts facts) {
-		return isLong(facts) == this.longEngines.contains(upstream.host().host());
+	static boolean needsQuiet(RequestFacts facts) {
+		Duration pause = facts.terms().pauseObjective();
+		return pause != null && pause.compareTo(LONGEST_QUIET_PAUSE) <= 0 && !isLong(facts);
 	}
 
 	static boolean isLong(RequestFacts facts) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
@@ -28,11 +28,14 @@
 	/** What it costs a short request or one to a plain service to leave the domain. */
 	private static final double TOKENS_PER_CROSSING = 1_500;
 
-	/** What a long prompt costs on an engine for short ones. */
-	private static final double TOKENS_OF_INTRUSION = 30_000;
+	/** What a long prompt costs on a quiet engine. */
+	private static final double TOKENS_OF_INTRUSION = 300_000;
 
-	/** What a short request costs on an engine for long prompts. */
-	private static final double TOKENS_OF_EXPOSURE = 8_000;
+	/** What a short prompt that needs no quiet costs on a quiet engine. */
+	private static final double TOKENS_OF_DISTURBANCE = 6_000;
+
+	/** What a request that needs quiet costs on any other engine. */
+	private static final double TOKENS_OF_EXPOSURE = 12_000;
 
 	/** How much more unread there is than this daemon knows of. */
 	private static final double UNSEEN_FACTOR = 2;
@@ -79,11 +82,19 @@
 			uncached = Math.min(uncached, facts.promptTokens() - shared * HOME_CACHED);
 		}
 		double work = uncached + upstream.unreadTokens() * UNSEEN_FACTOR + upstream.inFlight() * TOKENS_PER_RUNNING;
-		boolean isLong = EngineDivision.isLong(facts);
-		if (!division.fits(upstream, facts)) {
-			work += isLong ? TOKENS_OF_INTRUSION : TOKENS_OF_EXPOSURE;
+		work += misfit(upstream, division, facts);
+		return EngineDivision.isLong(facts) ? work : work + crossing(upstream);
+	}
+
+	private static double misfit(PlacedUpstream upstream, EngineDivision division, RequestFacts facts) {
+		boolean needsQuiet = EngineDivision.needsQuiet(facts);
+		if (needsQuiet == division.isQuiet(upstream)) {
+			return 0;
+		}
+		if (needsQuiet) {
+			return TOKENS_OF_EXPOSURE;
 		}
-		return isLong ? work : work + crossing(upstream);
+		return EngineDivision.isLong(facts) ? TOKENS_OF_INTRUSION : TOKENS_OF_DISTURBANCE;
 	}
 
 	private double plainWork(PlacedUpstream upstream) {
@@ -112,7 +123,8 @@
 		long best = Long.MIN_VALUE;
 		for (PlacedUpstream candidate : upstreams) {
 			long score = Rendezvous.score(part, candidate.host().host());
-			if (division.fits(candidate, facts) && (home == null || score > best)) {
+			boolean fits = division.isQuiet(candidate) == EngineDivision.needsQuiet(facts);
+			if (fits && (home == null || score > best)) {
 				home = candidate;
 				best = score;
 			}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.cyclamenstall.events.Event;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.policy.upstream.MovingAverage;
 import org.cyclamenstall.policy.AttemptResult;
@@ -33,7 +35,10 @@
 
 	private final WindowedRetryBudget budget;
 
-	PlacementPool(Placement placement, Duration budgetWindow, double budgetShare, int budgetFloor) {
+	private final EventLog events;
+
+	PlacementPool(Placement placement, Duration budgetWindow, double budgetShare, int budgetFloor, EventLog events) {
+		this.events = events;
 		this.placement = placement;
 		this.budget = new WindowedRetryBudget(budgetWindow, budgetShare, budgetFloor);
 	}
@@ -53,8 +58,8 @@
 				this.upstreamsByName.values().stream().filter(PlacedUpstream::isLive).toList());
 	}
 
-	boolean hasLive() {
-		return this.upstreamsByName.values().stream().anyMatch(PlacedUpstream::isLive);
+	int size() {
+		return this.upstreamsByName.size();
 	}
 
 	WindowedRetryBudget budget() {
@@ -98,6 +103,15 @@
 	void ended(PlacementGrant grant, AttemptResult result, long nowNanos) {
 		PlacedUpstream upstream = grant.placed();
 		upstream.ended(grant);
+		boolean paused = upstream.trust().isPaused(nowNanos);
+		judge(upstream, result, nowNanos);
+		if (!paused && upstream.trust().isPaused(nowNanos)) {
+			this.events.record(new Event.UpstreamPaused(upstream.host().host(), result.name(),
+					upstream.trust().failureShare(nowNanos), upstream.trust().restOfPauseMillis(nowNanos)));
+		}
+	}
+
+	private static void judge(PlacedUpstream upstream, AttemptResult result, long nowNanos) {
 		switch (result) {
 			case COMPLETED -> {
 				upstream.heard(nowNanos);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -5,10 +5,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.events.Event;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
 import org.cyclamenstall.kernel.MonotonicClock;
@@ -31,6 +34,8 @@
 
 	private static final int PROVEN_RETRIES = 3;
 
+	private static final String FIRST_ATTEMPT = "first";
+
 	private final Map<String, PlacementPool> pools = new HashMap<>();
 
 	private final PlacementSettings settings;
@@ -43,6 +48,8 @@
 
 	private final UniformRandomProvider random;
 
+	private final EventLog events;
+
 	private HostSnapshot snapshot = HostSnapshot.EMPTY;
 
 	private boolean draining;
@@ -56,14 +63,16 @@
 	 * @param failureDomain the failure domain of this daemon
 	 * @param clock the monotonic clock
 	 * @param random the source of randomness
+	 * @param events takes the events
 	 */
 	public PlacementTrafficController(PlacementSettings settings, HostList hosts, String failureDomain,
-			MonotonicClock clock, UniformRandomProvider random) {
+			MonotonicClock clock, UniformRandomProvider random, EventLog events) {
 		this.settings = settings;
 		this.hosts = hosts;
 		this.failureDomain = failureDomain;
 		this.clock = clock;
 		this.random = random;
+		this.events = events;
 	}
 
 	@Override
@@ -98,7 +107,7 @@
 			return () -> listener.refused(new Refusal(ErrorKind.NO_LIVE_UPSTREAM,
 					"No live upstream serves entry " + ticket.facts().entry().name()));
 		}
-		return grant(ticket, listener, upstream, nowNanos);
+		return grant(ticket, listener, upstream, FIRST_ATTEMPT, nowNanos);
 	}
 
 	RetryDecision retry(PlacementTicket ticket, RetryReason reason, GrantListener listener) {
@@ -124,17 +133,28 @@
 		if (arrived && !pool.budget().take(nowNanos)) {
 			return RetryDecision.BUDGET_SPENT;
 		}
-		calls.add(grant(ticket, listener, upstream, nowNanos));
+		calls.add(grant(ticket, listener, upstream, reason.label(), nowNanos));
 		return RetryDecision.GRANTED;
 	}
 
-	private Runnable grant(PlacementTicket ticket, GrantListener listener, PlacedUpstream upstream, long nowNanos) {
+	private Runnable grant(PlacementTicket ticket, GrantListener listener, PlacedUpstream upstream, String reason,
+			long nowNanos) {
 		PlacementGrant grant = new PlacementGrant(this, ticket, upstream, nowNanos);
+		this.events.record(placed(grant, reason, nowNanos));
 		ticket.tried().add(upstream);
 		upstream.started(grant);
 		return () -> listener.granted(grant);
 	}
 
+	private Event placed(PlacementGrant grant, String reason, long nowNanos) {
+		RequestFacts facts = grant.facts();
+		PlacedUpstream upstream = grant.placed();
+		return new Event.RequestPlaced(facts.requestId(), facts.entry().name(), facts.account().name(),
+				facts.terms().priority(), grant.attempt(), reason, upstream.host().host(), facts.promptTokens(),
+				grant.unreadTokens(), upstream.unreadTokens(), upstream.inFlight(), poolOf(grant.ticket()).size(),
+				TimeUnit.NANOSECONDS.toMillis(nowNanos - facts.arrivalNanos()));
+	}
+
 	void firstToken(PlacementGrant grant) {
 		decide(() -> {
 			if (grant.startAnswering()) {
@@ -195,7 +215,7 @@
 		if (pool == null) {
 			pool = new PlacementPool(new LeastCostPlacement(this.failureDomain, this.random),
 					Duration.ofMillis(this.settings.retryWindowMillis()), this.settings.retryShare(),
-					this.settings.retryFloor());
+					this.settings.retryFloor(), this.events);
 			pool.listed(this.snapshot.hosts(service));
 			this.pools.put(service, pool);
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/UpstreamTrust.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/UpstreamTrust.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.internal.policy.placement;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * Judges an upstream by the ends of attempts. Answers the load patterns of upstreams that
  * crash, fall silent, or fail part of their requests while their health check is good. An
@@ -74,6 +76,15 @@
 		return this.paused && nowNanos - this.pausedUntilNanos < 0;
 	}
 
+	/**
+	 * Returns how long the pause goes on.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the rest in milliseconds, or zero outside a pause
+	 */
+	long restOfPauseMillis(long nowNanos) {
+		return isPaused(nowNanos) ? TimeUnit.NANOSECONDS.toMillis(this.pausedUntilNanos - nowNanos) : 0;
+	}
+
 	/**
 	 * Returns whether the last pause is over and no attempt went well since: the upstream
 	 * takes one request at a time.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/routes/FollowedRouteTable.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/routes/FollowedRouteTable.java
@@ -5,9 +5,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.events.Event;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.internal.follower.StoreListener;
 import org.cyclamenstall.routes.RouteTable;
 import org.cyclamenstall.routes.RouteTableCodec;
@@ -22,14 +22,14 @@
  */
 public final class FollowedRouteTable implements RouteTableView, StoreListener {
 
-	private static final Logger logger = LogManager.getLogger(FollowedRouteTable.class);
-
 	private final List<Consumer<RouteTable>> listeners = new CopyOnWriteArrayList<>();
 
 	private final String key;
 
 	private final RouteTableCodec codec;
 
+	private final EventLog events;
+
 	private volatile @Nullable RouteTable table;
 
 	private long storeVersion;
@@ -38,10 +38,12 @@
 	 * Creates a holder of nothing.
 	 * @param key the key of the configuration
 	 * @param codec decodes the configuration
+	 * @param events takes the events
 	 */
-	public FollowedRouteTable(String key, RouteTableCodec codec) {
+	public FollowedRouteTable(String key, RouteTableCodec codec, EventLog events) {
 		this.key = key;
 		this.codec = codec;
+		this.events = events;
 	}
 
 	@Override
@@ -76,17 +78,26 @@
 			newer = this.codec.decode(record.value());
 		}
 		catch (RouterException ex) {
-			logger.error("The configuration at store version {} cannot be read: {}", record.version(), ex.getMessage());
+			refuse(record, "it cannot be read: " + ex.getMessage());
 			return;
 		}
-		RouteTable before = this.table;
-		if (before != null && newer.version() <= before.version()) {
-			logger.warn("Configuration {} is refused: {} is in force", newer.version(), before.version());
+		long before = inForce();
+		if (newer.version() <= before) {
+			refuse(record, "its version is " + newer.version());
 			return;
 		}
 		this.table = newer;
-		logger.info("Configuration {} is in force with {} routes", newer.version(), newer.routeCount());
+		this.events.record(new Event.ConfigurationInForce(newer.version(), before, newer.routeCount()));
 		this.listeners.forEach((listener) -> listener.accept(newer));
 	}
 
+	private void refuse(StoreRecord record, String detail) {
+		this.events.record(new Event.ConfigurationRefused(record.version(), inForce(), detail));
+	}
+
+	private long inForce() {
+		RouteTable current = this.table;
+		return (current != null) ? current.version() : 0;
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
@@ -32,6 +32,9 @@
 	/** The operators' port. */
 	public static final String OPERATORS = "operators";
 
+	/** The log of events. */
+	public static final String EVENTS = "events";
+
 	/** The follower of a watched store. */
 	public static final String STORE_FOLLOWER = "store-follower";
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RequestTerms.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RequestTerms.java
@@ -14,13 +14,15 @@
  * @param maximumAttempts the largest number of upstreams that may run the request
  * @param objective the time within which an answer is on time, for streams until the
  * first event, or {@code null} for none
+ * @param pauseObjective the longest pause between two events of a stream that is on time,
+ * or {@code null} for none
  * @param answerWithin the longest time from the arrival to the whole answer, or
  * {@code null} for none
  * @param resumable whether a cut stream may be continued at another upstream
  * @param prompt the size and content of a model request
  */
 public record RequestTerms(@Nullable String service, int priority, int maximumAttempts, @Nullable Duration objective,
-		@Nullable Duration answerWithin, boolean resumable, PromptShape prompt) {
+		@Nullable Duration pauseObjective, @Nullable Duration answerWithin, boolean resumable, PromptShape prompt) {
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -33,8 +35,8 @@
 	 */
 	public static RequestTerms of(CatalogueEntry entry, Tier tier, PromptShape prompt) {
 		return new RequestTerms(entry.upstreams(), tier.ordinal(), Integer.MAX_VALUE,
-				duration(entry.firstTokenSeconds()), duration(entry.effectiveLimits().answerSeconds()),
-				Boolean.TRUE.equals(entry.resumable()), prompt);
+				duration(entry.firstTokenSeconds()), duration(entry.tokenGapSeconds()),
+				duration(entry.effectiveLimits().answerSeconds()), Boolean.TRUE.equals(entry.resumable()), prompt);
 	}
 
 	private static @Nullable Duration duration(@Nullable Double seconds) {
