--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -35,8 +35,14 @@
 
 	private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
-	/** How long a daemon that is shutting down still serves new requests at least. */
-	private static final Duration SETTLE = Duration.ofMillis(3_500);
+	/**
+	 * How long a daemon that is shutting down still takes requests: callers need this
+	 * long to notice. A later request would not end before the process does.
+	 */
+	private static final Duration SETTLE = Duration.ofMillis(2_000);
+
+	/** How long it listens at least, so that a late request gets an answer. */
+	private static final Duration LEAST_SHUTDOWN = Duration.ofMillis(4_000);
 
 	private final RoutedDaemonSettings settings;
 
@@ -108,6 +114,9 @@
 		callers().closeConnectionsAfterAnswers();
 		long startedAtNanos = this.clock.nanoTime();
 		while (!isDone(startedAtNanos)) {
+			if (this.clock.nanoTime() - startedAtNanos >= SETTLE.toNanos()) {
+				controller().drain();
+			}
 			if (signal.awaitSecond(DRAIN_POLL)) {
 				break;
 			}
@@ -121,7 +130,7 @@
 		if (sinceNanos >= this.settings.shutdownTime().toNanos()) {
 			return true;
 		}
-		return sinceNanos >= SETTLE.toNanos() && callers().openRequests() == 0;
+		return sinceNanos >= LEAST_SHUTDOWN.toNanos() && callers().openRequests() == 0;
 	}
 
 	@Override
