Let requests wait in the daemon while upstreams hold what they can begin on time

Change: a window of work before the first event at each upstream, which follows how late first events come; a queue by rank, then by objective; early true refusals with a time to return.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/Outbox.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/Outbox.java
@@ -11,17 +11,25 @@
  * its release. A listener that throws keeps no other from being called. Not thread-safe:
  * the controller's lock guards it.
  */
-final class Outbox {
+public final class Outbox {
 
 	private static final Logger logger = LogManager.getLogger(Outbox.class);
 
 	private List<Runnable> calls = new ArrayList<>();
 
-	void add(Runnable call) {
+	/**
+	 * Adds a call.
+	 * @param call the call
+	 */
+	public void add(Runnable call) {
 		this.calls.add(call);
 	}
 
-	List<Runnable> take() {
+	/**
+	 * Takes the calls that were added.
+	 * @return the calls in order
+	 */
+	public List<Runnable> take() {
 		if (this.calls.isEmpty()) {
 			return List.of();
 		}
@@ -30,7 +38,11 @@
 		return taken;
 	}
 
-	static void deliver(List<Runnable> calls) {
+	/**
+	 * Makes calls.
+	 * @param calls the calls
+	 */
+	public static void deliver(List<Runnable> calls) {
 		for (Runnable call : calls) {
 			try {
 				call.run();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
@@ -1,6 +1,7 @@
 package org.cyclamenstall.internal.policy.placement;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenstall.policy.PromptPart;
@@ -19,9 +20,6 @@
 	/** What one running request of an engine costs the next one. */
 	private static final double TOKENS_PER_RUNNING = 60;
 
-	/** What one unfinished request of a plain service costs the next one. */
-	private static final double TOKENS_PER_PLAIN_REQUEST = 4_000;
-
 	/** The expected part of a shared beginning that is cached at its home. */
 	private static final double HOME_CACHED = 0.8;
 
@@ -40,6 +38,9 @@
 	/** How much more unread there is than this daemon knows of. */
 	private static final double UNSEEN_FACTOR = 2;
 
+	/** How much worse than the best a choice may be rather than to wait for the best. */
+	private static final double TOKENS_OF_PATIENCE = 15_000;
+
 	private static final double TOKENS_PER_FAILURE = 40_000;
 
 	private static final double TOKENS_OF_SILENCE = 400_000;
@@ -57,22 +58,28 @@
 	}
 
 	@Override
-	public @Nullable PlacedUpstream choose(List<PlacedUpstream> upstreams, EngineDivision division, RequestFacts facts,
-			long nowNanos) {
+	public @Nullable PlacedUpstream choose(List<PlacedUpstream> upstreams, Predicate<PlacedUpstream> hasRoom,
+			EngineDivision division, RequestFacts facts, long nowNanos) {
 		PlacedUpstream home = home(upstreams, division, facts);
 		PlacedUpstream best = null;
 		double bestCost = Double.MAX_VALUE;
+		double leastCost = Double.MAX_VALUE;
 		for (PlacedUpstream candidate : upstreams) {
-			double work = (facts.promptTokens() > 0) ? engineWork(candidate, division, facts, candidate == home)
-					: plainWork(candidate);
-			double cost = work * candidate.slowness().factor(nowNanos) + distrust(candidate, nowNanos)
-					+ this.random.nextDouble() * TOKENS_OF_CHANCE;
-			if (cost < bestCost) {
+			double cost = cost(candidate, division, facts, candidate == home, nowNanos);
+			leastCost = Math.min(leastCost, cost);
+			if (cost < bestCost && hasRoom.test(candidate)) {
 				best = candidate;
 				bestCost = cost;
 			}
 		}
-		return best;
+		return (bestCost <= leastCost + TOKENS_OF_PATIENCE) ? best : null;
+	}
+
+	private double cost(PlacedUpstream candidate, EngineDivision division, RequestFacts facts, boolean home,
+			long nowNanos) {
+		double work = (facts.promptTokens() > 0) ? engineWork(candidate, division, facts, home) : plainWork(candidate);
+		return work * candidate.slowness().factor(nowNanos) + distrust(candidate, nowNanos)
+				+ this.random.nextDouble() * TOKENS_OF_CHANCE;
 	}
 
 	private double engineWork(PlacedUpstream upstream, EngineDivision division, RequestFacts facts, boolean home) {
@@ -81,7 +88,7 @@
 			int shared = sharedTokens(facts.terms().prompt().sharedParts());
 			uncached = Math.min(uncached, facts.promptTokens() - shared * HOME_CACHED);
 		}
-		double work = uncached + upstream.unreadTokens() * UNSEEN_FACTOR + upstream.inFlight() * TOKENS_PER_RUNNING;
+		double work = uncached + upstream.unreadWork() * UNSEEN_FACTOR + upstream.inFlight() * TOKENS_PER_RUNNING;
 		work += misfit(upstream, division, facts);
 		return EngineDivision.isLong(facts) ? work : work + crossing(upstream);
 	}
@@ -98,7 +105,7 @@
 	}
 
 	private double plainWork(PlacedUpstream upstream) {
-		return (upstream.inFlight() + 1) * TOKENS_PER_PLAIN_REQUEST + crossing(upstream);
+		return (upstream.inFlight() + 1) * PlacementTicket.PLAIN_WORK + crossing(upstream);
 	}
 
 	private double crossing(PlacedUpstream upstream) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
@@ -26,7 +26,9 @@
 
 	private ListedHost host;
 
-	private long unreadTokens;
+	private final LoadWindow window = new LoadWindow();
+
+	private double unreadWork;
 
 	private long heardAtNanos;
 
@@ -65,11 +67,34 @@
 	}
 
 	/**
-	 * Returns the prompt tokens that this daemon sent and that are not read yet.
-	 * @return the tokens
+	 * Returns the work that this daemon sent and that has no first event yet.
+	 * @return the work in prompt tokens
+	 */
+	double unreadWork() {
+		return this.unreadWork;
+	}
+
+	LoadWindow window() {
+		return this.window;
+	}
+
+	/**
+	 * Returns whether a request fits into the window.
+	 * @param ticket the request
+	 * @return {@code true} if it may be sent now
+	 */
+	boolean hasRoom(PlacementTicket ticket) {
+		return this.window.fits(this.unreadWork, work(ticket));
+	}
+
+	/**
+	 * Returns the work that a request brings here.
+	 * @param ticket the request
+	 * @return the work in prompt tokens
 	 */
-	long unreadTokens() {
-		return this.unreadTokens;
+	double work(PlacementTicket ticket) {
+		PromptShape prompt = ticket.facts().terms().prompt();
+		return (prompt.promptTokens() > 0) ? uncachedTokens(prompt) : PlacementTicket.PLAIN_WORK;
 	}
 
 	int uncachedTokens(PromptShape prompt) {
@@ -94,7 +119,7 @@
 			this.heardAtNanos = grant.startedAtNanos();
 		}
 		this.running.add(grant);
-		this.unreadTokens += grant.unreadTokens();
+		this.unreadWork += grant.unreadWork();
 		this.cache.read(grant.facts().terms().prompt().parts());
 	}
 
@@ -103,7 +128,7 @@
 	}
 
 	void read(PlacementGrant grant) {
-		this.unreadTokens -= grant.takeUnreadTokens();
+		this.unreadWork -= grant.takeUnreadWork();
 	}
 
 	void ended(PlacementGrant grant) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
@@ -23,7 +23,7 @@
 
 	private final long startedAtNanos;
 
-	private int unreadTokens;
+	private double unreadWork;
 
 	private boolean answering;
 
@@ -37,7 +37,7 @@
 		this.host = upstream.host();
 		this.attempt = ticket.nextAttempt();
 		this.startedAtNanos = nowNanos;
-		this.unreadTokens = upstream.uncachedTokens(ticket.facts().terms().prompt());
+		this.unreadWork = upstream.work(ticket);
 	}
 
 	@Override
@@ -89,13 +89,13 @@
 		return this.startedAtNanos;
 	}
 
-	int unreadTokens() {
-		return this.unreadTokens;
+	double unreadWork() {
+		return this.unreadWork;
 	}
 
-	int takeUnreadTokens() {
-		int taken = this.unreadTokens;
-		this.unreadTokens = 0;
+	double takeUnreadWork() {
+		double taken = this.unreadWork;
+		this.unreadWork = 0;
 		return taken;
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.cyclamenstall.events.Event;
 import org.cyclamenstall.events.EventLog;
@@ -16,10 +17,14 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Holds the upstreams of one service. Not thread-safe: the controller's lock guards it.
+ * Holds the upstreams of one service and the requests that wait for them. Not
+ * thread-safe: the controller's lock guards it.
  */
 final class PlacementPool {
 
+	/** The time in which upstreams take at least what fits their windows. */
+	private static final double WINDOW_NANOS = 1e9;
+
 	private static final double USUAL_WEIGHT = 0.05;
 
 	/** An engine's memory where the configuration does not tell it. */
@@ -29,6 +34,10 @@
 
 	private final Map<String, MovingAverage> usualFirstNanos = new HashMap<>();
 
+	private final WaitingRequests waiting = new WaitingRequests();
+
+	private final ReleaseRate rate = new ReleaseRate();
+
 	private final Placement placement;
 
 	private EngineDivision division = new EngineDivision(List.of());
@@ -66,14 +75,35 @@
 		return this.budget;
 	}
 
+	WaitingRequests waiting() {
+		return this.waiting;
+	}
+
+	boolean hasLive() {
+		return this.upstreamsByName.values().stream().anyMatch(PlacedUpstream::isLive);
+	}
+
 	/**
-	 * Chooses the upstream of an attempt: a trusted one that was not tried yet, otherwise
-	 * any live one that was not tried.
+	 * Chooses the upstream of a further attempt, whatever work it holds.
 	 * @param ticket the request
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the upstream, or {@code null} if every live one was tried
 	 */
-	@Nullable PlacedUpstream choose(PlacementTicket ticket, long nowNanos) {
+	@Nullable PlacedUpstream chooseAgain(PlacementTicket ticket, long nowNanos) {
+		return choose(ticket, (upstream) -> true, nowNanos);
+	}
+
+	/**
+	 * Chooses the upstream of a first attempt among those that have room.
+	 * @param ticket the request
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the upstream, or {@code null} if the request must wait
+	 */
+	@Nullable PlacedUpstream chooseFirst(PlacementTicket ticket, long nowNanos) {
+		return choose(ticket, (upstream) -> upstream.hasRoom(ticket), nowNanos);
+	}
+
+	private @Nullable PlacedUpstream choose(PlacementTicket ticket, Predicate<PlacedUpstream> hasRoom, long nowNanos) {
 		List<PlacedUpstream> untried = new ArrayList<>();
 		List<PlacedUpstream> trusted = new ArrayList<>();
 		for (PlacedUpstream upstream : this.upstreamsByName.values()) {
@@ -86,7 +116,30 @@
 				trusted.add(upstream);
 			}
 		}
-		return this.placement.choose(trusted.isEmpty() ? untried : trusted, this.division, ticket.facts(), nowNanos);
+		return this.placement.choose(trusted.isEmpty() ? untried : trusted, hasRoom, this.division, ticket.facts(),
+				nowNanos);
+	}
+
+	void started(PlacementGrant grant, long nowNanos) {
+		this.rate.released(grant.ticket().work(), nowNanos);
+		grant.ticket().tried().add(grant.placed());
+		grant.placed().started(grant);
+	}
+
+	/**
+	 * Estimates how long a request waits behind an amount of work.
+	 * @param work the work, in prompt tokens
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the time in nanoseconds
+	 */
+	double waitNanos(double work, long nowNanos) {
+		double windows = this.upstreamsByName.values()
+			.stream()
+			.filter(PlacedUpstream::isLive)
+			.mapToDouble((upstream) -> upstream.window().size())
+			.sum();
+		double byWindows = (windows > 0) ? work / windows * WINDOW_NANOS : Double.MAX_VALUE;
+		return Math.min(byWindows, this.rate.nanosFor(work, nowNanos));
 	}
 
 	void firstEvent(PlacementGrant grant, long nowNanos) {
@@ -98,6 +151,10 @@
 		usual.add(durationNanos);
 		grant.placed().heard(nowNanos);
 		grant.placed().read(grant);
+		Duration objective = grant.facts().terms().objective();
+		if (objective != null) {
+			grant.placed().window().firstEvent(durationNanos / (double) objective.toNanos(), nowNanos);
+		}
 	}
 
 	void ended(PlacementGrant grant, AttemptResult result, long nowNanos) {
@@ -123,7 +180,10 @@
 				upstream.heard(nowNanos);
 				upstream.trust().failed(nowNanos);
 			}
-			case TIMED_OUT, CONNECTION_LOST -> upstream.trust().failed(nowNanos);
+			case TIMED_OUT, CONNECTION_LOST -> {
+				upstream.trust().failed(nowNanos);
+				upstream.window().firstEvent(LoadWindow.NEVER, nowNanos);
+			}
 			default -> {
 			}
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
@@ -17,12 +17,23 @@
  */
 final class PlacementTicket implements Ticket {
 
+	/** The work of a request without a prompt, in prompt tokens. */
+	static final double PLAIN_WORK = 4_000;
+
+	private static final Duration UNBOUNDED = Duration.ofMinutes(10);
+
 	private final PlacementTrafficController controller;
 
 	private final RequestFacts facts;
 
+	private final GrantListener listener;
+
+	private final long sequence;
+
 	private final Set<PlacedUpstream> tried = new HashSet<>();
 
+	private boolean overdue;
+
 	private int attempts;
 
 	private int unprovenAttempts;
@@ -31,19 +42,21 @@
 
 	private boolean finished;
 
-	PlacementTicket(PlacementTrafficController controller, RequestFacts facts) {
+	PlacementTicket(PlacementTrafficController controller, RequestFacts facts, GrantListener listener, long sequence) {
 		this.controller = controller;
 		this.facts = facts;
+		this.listener = listener;
+		this.sequence = sequence;
 	}
 
 	@Override
 	public boolean withdraw() {
-		return false;
+		return this.controller.withdraw(this);
 	}
 
 	@Override
-	public RetryDecision retry(RetryReason reason, GrantListener listener) {
-		return this.controller.retry(this, reason, listener);
+	public RetryDecision retry(RetryReason reason, GrantListener next) {
+		return this.controller.retry(this, reason, next);
 	}
 
 	@Override
@@ -52,7 +65,7 @@
 	}
 
 	@Override
-	public RetryDecision hedge(GrantListener listener) {
+	public RetryDecision hedge(GrantListener second) {
 		return RetryDecision.NO_UPSTREAM;
 	}
 
@@ -65,6 +78,60 @@
 		return this.facts;
 	}
 
+	/**
+	 * Returns who is told of the first attempt.
+	 * @return the listener
+	 */
+	GrantListener listener() {
+		return this.listener;
+	}
+
+	int priority() {
+		return this.facts.terms().priority();
+	}
+
+	long sequence() {
+		return this.sequence;
+	}
+
+	/**
+	 * Returns the work that it brings, in prompt tokens.
+	 * @return the work
+	 */
+	double work() {
+		return (this.facts.promptTokens() > 0) ? this.facts.promptTokens() : PLAIN_WORK;
+	}
+
+	/**
+	 * Returns when an answer stops to be on time.
+	 * @return the time on the monotonic clock
+	 */
+	long dueNanos() {
+		Duration objective = this.facts.terms().objective();
+		return this.facts.arrivalNanos() + ((objective != null) ? objective : UNBOUNDED).toNanos();
+	}
+
+	/**
+	 * Returns the time that it had at its arrival.
+	 * @return the time in nanoseconds
+	 */
+	long wholeNanos() {
+		Duration within = this.facts.terms().answerWithin();
+		return ((within != null) ? within : UNBOUNDED).toNanos();
+	}
+
+	long leftNanos(long nowNanos) {
+		return this.facts.arrivalNanos() + wholeNanos() - nowNanos;
+	}
+
+	boolean isOverdue() {
+		return this.overdue;
+	}
+
+	void becomeOverdue() {
+		this.overdue = true;
+	}
+
 	Set<PlacedUpstream> tried() {
 		return this.tried;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -1,19 +1,23 @@
 package org.cyclamenstall.internal.policy.placement;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.events.Event;
 import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.internal.policy.Outbox;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.GrantListener;
@@ -26,18 +30,24 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Places each request at once on the upstream where it costs least; waiting and order are
- * left to upstreams that queue by priority. One lock guards all state; listeners are
- * called after its release. Thread-safe.
+ * Places each request on the upstream where it costs least, and lets it wait here while
+ * the upstreams hold as much as they can begin on time. Further attempts are placed at
+ * once. One lock guards all state; listeners are called after its release. Thread-safe.
  */
 public final class PlacementTrafficController implements TrafficController {
 
+	private static final Logger logger = LogManager.getLogger(PlacementTrafficController.class);
+
 	private static final int PROVEN_RETRIES = 3;
 
 	private static final String FIRST_ATTEMPT = "first";
 
+	private static final long TICK_MILLIS = 50;
+
 	private final Map<String, PlacementPool> pools = new HashMap<>();
 
+	private final Outbox outbox = new Outbox();
+
 	private final PlacementSettings settings;
 
 	private final String failureDomain;
@@ -48,14 +58,22 @@
 
 	private final UniformRandomProvider random;
 
+	private final OverloadRule overload;
+
 	private final EventLog events;
 
 	private HostSnapshot snapshot = HostSnapshot.EMPTY;
 
+	private @Nullable ScheduledExecutorService timer;
+
+	private boolean tickScheduled;
+
 	private boolean draining;
 
 	private int unfinished;
 
+	private long sequence;
+
 	/**
 	 * Creates a controller.
 	 * @param settings the bounds
@@ -72,78 +90,170 @@
 		this.failureDomain = failureDomain;
 		this.clock = clock;
 		this.random = random;
+		this.overload = new OverloadRule(random);
 		this.events = events;
 	}
 
 	@Override
 	public void start() {
+		this.timer = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "placement-timer");
+			thread.setDaemon(true);
+			return thread;
+		});
 		this.hosts.addListener(this::hostsChanged);
 		hostsChanged(this.hosts.current());
 	}
 
 	@Override
 	public void close() {
+		if (this.timer != null) {
+			this.timer.shutdownNow();
+		}
 	}
 
 	@Override
 	public Ticket submit(RequestFacts facts, GrantListener listener) {
-		PlacementTicket ticket = new PlacementTicket(this, facts);
-		Runnable call = decide(() -> {
+		return decide(() -> {
 			this.unfinished++;
-			return first(ticket, listener, this.clock.nanoTime());
+			this.sequence++;
+			PlacementTicket ticket = new PlacementTicket(this, facts, listener, this.sequence);
+			first(ticket, this.clock.nanoTime());
+			return ticket;
 		});
-		call.run();
-		return ticket;
 	}
 
-	private Runnable first(PlacementTicket ticket, GrantListener listener, long nowNanos) {
+	private void first(PlacementTicket ticket, long nowNanos) {
+		PlacementPool pool = poolOf(ticket);
 		if (this.draining) {
-			return () -> listener.refused(new Refusal(ErrorKind.SHUTTING_DOWN, "The daemon is shutting down"));
+			refuse(ticket, new Refusal(ErrorKind.SHUTTING_DOWN, "The daemon is shutting down", Duration.ofMillis(50)));
+			return;
 		}
-		PlacementPool pool = poolOf(ticket);
-		pool.budget().requested(nowNanos);
-		PlacedUpstream upstream = pool.choose(ticket, nowNanos);
-		if (upstream == null) {
-			return () -> listener.refused(new Refusal(ErrorKind.NO_LIVE_UPSTREAM,
+		if (!pool.hasLive()) {
+			refuse(ticket, new Refusal(ErrorKind.NO_LIVE_UPSTREAM,
 					"No live upstream serves entry " + ticket.facts().entry().name()));
+			return;
+		}
+		pool.budget().requested(nowNanos);
+		pool.waiting().add(ticket);
+		double waitNanos = pool.waitNanos(pool.waiting().workAhead(ticket), nowNanos);
+		if (this.overload.isHopeless(waitNanos, ticket.leftNanos(nowNanos), ticket.wholeNanos())) {
+			pool.waiting().remove(ticket);
+			giveUp(ticket, waitNanos, nowNanos);
+			return;
+		}
+		serve(pool, nowNanos);
+		if (ticket.tried().isEmpty()) {
+			this.events.record(new Event.RequestQueued(ticket.facts().requestId(), ticket.facts().entry().name(),
+					ticket.priority(), pool.waiting().size(), Math.round(pool.waiting().work())));
+			scheduleTick();
 		}
-		return grant(ticket, listener, upstream, FIRST_ATTEMPT, nowNanos);
 	}
 
-	RetryDecision retry(PlacementTicket ticket, RetryReason reason, GrantListener listener) {
-		List<Runnable> calls = new ArrayList<>(1);
-		RetryDecision decision = decide(() -> tryAgain(ticket, reason, listener, calls));
-		calls.forEach(Runnable::run);
-		return decision;
-	}
-
-	private RetryDecision tryAgain(PlacementTicket ticket, RetryReason reason, GrantListener listener,
-			List<Runnable> calls) {
-		long nowNanos = this.clock.nanoTime();
-		if (ticket.unprovenAttempts() >= ticket.facts().terms().maximumAttempts()
-				|| ticket.provenAttempts() > PROVEN_RETRIES) {
-			return RetryDecision.ATTEMPTS_EXHAUSTED;
+	private void serve(PlacementPool pool, long nowNanos) {
+		if (pool.waiting().size() == 0) {
+			return;
 		}
-		PlacementPool pool = poolOf(ticket);
-		PlacedUpstream upstream = pool.choose(ticket, nowNanos);
-		if (upstream == null) {
-			return RetryDecision.NO_UPSTREAM;
+		pool.waiting().serve((ticket) -> {
+			PlacedUpstream upstream = pool.chooseFirst(ticket, nowNanos);
+			if (upstream != null) {
+				grant(ticket, ticket.listener(), upstream, FIRST_ATTEMPT, nowNanos);
+			}
+			return upstream != null;
+		});
+	}
+
+	private void giveUp(PlacementTicket ticket, double waitNanos, long nowNanos) {
+		refuse(ticket,
+				new Refusal(ErrorKind.UPSTREAMS_FULL,
+						"The upstreams of entry " + ticket.facts().entry().name() + " cannot answer in time",
+						this.overload.returnAfter(waitNanos, ticket.leftNanos(nowNanos))));
+	}
+
+	private void refuse(PlacementTicket ticket, Refusal refusal) {
+		this.outbox.add(() -> ticket.listener().refused(refusal));
+	}
+
+	private void scheduleTick() {
+		if (!this.tickScheduled && this.timer != null) {
+			this.tickScheduled = true;
+			this.timer.schedule(this::tickSafely, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void tickSafely() {
+		try {
+			tick();
 		}
-		boolean arrived = reason != RetryReason.UNREACHABLE;
-		if (arrived && !pool.budget().take(nowNanos)) {
-			return RetryDecision.BUDGET_SPENT;
+		catch (RuntimeException ex) {
+			logger.error("The timer of the placement failed", ex);
+		}
+	}
+
+	/**
+	 * Looks at the requests that wait: which are late, which are given up, which fit now.
+	 */
+	void tick() {
+		decide(() -> {
+			long nowNanos = this.clock.nanoTime();
+			this.tickScheduled = false;
+			for (PlacementPool pool : this.pools.values()) {
+				pool.waiting().markOverdue(nowNanos);
+				serve(pool, nowNanos);
+				giveUpHopeless(pool, nowNanos);
+			}
+			if (this.pools.values().stream().anyMatch((pool) -> pool.waiting().size() > 0)) {
+				scheduleTick();
+			}
+			return true;
+		});
+	}
+
+	private void giveUpHopeless(PlacementPool pool, long nowNanos) {
+		double workAhead = 0;
+		for (PlacementTicket ticket : pool.waiting().all()) {
+			double waitNanos = pool.waitNanos(workAhead, nowNanos);
+			if (this.overload.isHopeless(waitNanos, ticket.leftNanos(nowNanos), ticket.wholeNanos())) {
+				pool.waiting().remove(ticket);
+				giveUp(ticket, waitNanos, nowNanos);
+			}
+			else {
+				workAhead += ticket.work();
+			}
 		}
-		calls.add(grant(ticket, listener, upstream, reason.label(), nowNanos));
-		return RetryDecision.GRANTED;
 	}
 
-	private Runnable grant(PlacementTicket ticket, GrantListener listener, PlacedUpstream upstream, String reason,
+	boolean withdraw(PlacementTicket ticket) {
+		return decide(() -> poolOf(ticket).waiting().remove(ticket));
+	}
+
+	RetryDecision retry(PlacementTicket ticket, RetryReason reason, GrantListener listener) {
+		return decide(() -> {
+			long nowNanos = this.clock.nanoTime();
+			if (ticket.unprovenAttempts() >= ticket.facts().terms().maximumAttempts()
+					|| ticket.provenAttempts() > PROVEN_RETRIES) {
+				return RetryDecision.ATTEMPTS_EXHAUSTED;
+			}
+			PlacementPool pool = poolOf(ticket);
+			PlacedUpstream upstream = pool.chooseAgain(ticket, nowNanos);
+			if (upstream == null) {
+				return RetryDecision.NO_UPSTREAM;
+			}
+			boolean arrived = reason != RetryReason.UNREACHABLE;
+			if (arrived && !pool.budget().take(nowNanos)) {
+				return RetryDecision.BUDGET_SPENT;
+			}
+			grant(ticket, listener, upstream, reason.label(), nowNanos);
+			return RetryDecision.GRANTED;
+		});
+	}
+
+	private void grant(PlacementTicket ticket, GrantListener listener, PlacedUpstream upstream, String reason,
 			long nowNanos) {
 		PlacementGrant grant = new PlacementGrant(this, ticket, upstream, nowNanos);
 		this.events.record(placed(grant, reason, nowNanos));
-		ticket.tried().add(upstream);
-		upstream.started(grant);
-		return () -> listener.granted(grant);
+		poolOf(ticket).started(grant, nowNanos);
+		this.outbox.add(() -> listener.granted(grant));
 	}
 
 	private Event placed(PlacementGrant grant, String reason, long nowNanos) {
@@ -151,14 +261,17 @@
 		PlacedUpstream upstream = grant.placed();
 		return new Event.RequestPlaced(facts.requestId(), facts.entry().name(), facts.account().name(),
 				facts.terms().priority(), grant.attempt(), reason, upstream.host().host(), facts.promptTokens(),
-				grant.unreadTokens(), upstream.unreadTokens(), upstream.inFlight(), poolOf(grant.ticket()).size(),
-				TimeUnit.NANOSECONDS.toMillis(nowNanos - facts.arrivalNanos()));
+				upstream.uncachedTokens(facts.terms().prompt()), Math.round(upstream.unreadWork()), upstream.inFlight(),
+				poolOf(grant.ticket()).size(), TimeUnit.NANOSECONDS.toMillis(nowNanos - facts.arrivalNanos()));
 	}
 
 	void firstToken(PlacementGrant grant) {
 		decide(() -> {
 			if (grant.startAnswering()) {
-				poolOf(grant.ticket()).firstEvent(grant, this.clock.nanoTime());
+				long nowNanos = this.clock.nanoTime();
+				PlacementPool pool = poolOf(grant.ticket());
+				pool.firstEvent(grant, nowNanos);
+				serve(pool, nowNanos);
 			}
 			return true;
 		});
@@ -174,10 +287,13 @@
 	void ended(PlacementGrant grant, AttemptResult result) {
 		decide(() -> {
 			if (grant.end()) {
+				long nowNanos = this.clock.nanoTime();
 				grant.ticket()
 					.attemptEnded(result == AttemptResult.UNREACHABLE || result == AttemptResult.REFUSED
 							|| result == AttemptResult.NOT_SENT);
-				poolOf(grant.ticket()).ended(grant, result, this.clock.nanoTime());
+				PlacementPool pool = poolOf(grant.ticket());
+				pool.ended(grant, result, nowNanos);
+				serve(pool, nowNanos);
 			}
 			return true;
 		});
@@ -203,13 +319,16 @@
 	private void hostsChanged(HostSnapshot newer) {
 		decide(() -> {
 			this.snapshot = newer;
-			this.pools.forEach((service, pool) -> pool.listed(newer.hosts(service)));
+			this.pools.forEach((service, pool) -> {
+				pool.listed(newer.hosts(service));
+				serve(pool, this.clock.nanoTime());
+			});
 			return true;
 		});
 	}
 
 	private PlacementPool poolOf(PlacementTicket ticket) {
-		@Nullable String named = ticket.facts().terms().service();
+		String named = ticket.facts().terms().service();
 		String service = (named != null) ? named : "";
 		PlacementPool pool = this.pools.get(service);
 		if (pool == null) {
@@ -222,8 +341,15 @@
 		return pool;
 	}
 
-	private synchronized <T> T decide(Supplier<T> decision) {
-		return decision.get();
+	private <T> T decide(Supplier<T> decision) {
+		List<Runnable> calls;
+		T result;
+		synchronized (this) {
+			result = decision.get();
+			calls = this.outbox.take();
+		}
+		Outbox.deliver(calls);
+		return result;
 	}
 
 }
