Hold prompts back from engines whose streams would not end in time

Cause: route plans that began ran into the deadline while their engine read prompts without a break. Change: gaps between events are compared with the gap that a stream can afford.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
@@ -17,11 +17,13 @@
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.RequestFacts;
 import org.cyclamenstall.policy.RequestTerms;
+import org.cyclamenstall.routes.EngineShape;
 import org.cyclamenstall.routes.Route;
 import org.cyclamenstall.routes.RouteAccount;
 import org.cyclamenstall.routes.RouteTable;
 import org.cyclamenstall.routes.RouteTableView;
 import org.cyclamenstall.routes.RouteTerms;
+import org.cyclamenstall.routes.UpstreamService;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -107,7 +109,7 @@
 		Route route = table.route(head.virtualHost(), head.path())
 			.orElseThrow(() -> unconfirmedOr(ErrorKind.UNKNOWN_ROUTE, "no route serves this host and path"));
 		RouteAccount account = account(table, route, head);
-		return new Arrived(exchange, requestId, arrivalNanos, table.callerBounds().bodyBytes(), head, route, account);
+		return new Arrived(exchange, requestId, arrivalNanos, table, head, route, account);
 	}
 
 	private @Nullable RouteAccount account(RouteTable table, Route route, RequestHead head) {
@@ -143,7 +145,7 @@
 
 		private final long arrivalNanos;
 
-		private final int maximumBodyBytes;
+		private final RouteTable table;
 
 		private final RequestHead head;
 
@@ -151,12 +153,12 @@
 
 		private final @Nullable RouteAccount account;
 
-		Arrived(HttpServerExchange exchange, String requestId, long arrivalNanos, int maximumBodyBytes,
-				RequestHead head, Route route, @Nullable RouteAccount account) {
+		Arrived(HttpServerExchange exchange, String requestId, long arrivalNanos, RouteTable table, RequestHead head,
+				Route route, @Nullable RouteAccount account) {
 			this.exchange = exchange;
 			this.requestId = requestId;
 			this.arrivalNanos = arrivalNanos;
-			this.maximumBodyBytes = maximumBodyBytes;
+			this.table = table;
 			this.head = head;
 			this.route = route;
 			this.account = account;
@@ -164,7 +166,7 @@
 
 		@Override
 		public int maximumBodyBytes() {
-			return this.maximumBodyBytes;
+			return this.table.callerBounds().bodyBytes();
 		}
 
 		@Override
@@ -174,7 +176,8 @@
 			Duration answerWithin = answerWithin(terms);
 			String service = terms.serviceFor(RoutedCallerProtocol.this.random.nextDouble());
 			RequestTerms requestTerms = new RequestTerms(service, priority, terms.attempts(), terms.objective(),
-					terms.pauseObjective(), answerWithin, terms.resumable(), this.head.prompt());
+					terms.pauseObjective(), answerWithin, terms.resumable(), tokensPerEvent(service),
+					this.head.prompt());
 			CatalogueEntry accountEntry = (this.account != null) ? this.account.entry() : NO_ACCOUNT;
 			RequestFacts facts = new RequestFacts(this.requestId, this.route.entry(), accountEntry, tier(priority),
 					this.arrivalNanos, terms.idempotent(), terms.streamed(), null, requestTerms);
@@ -193,6 +196,12 @@
 					RoutedCallerProtocol.this.times.of(terms, answerWithin));
 		}
 
+		private int tokensPerEvent(String service) {
+			UpstreamService described = this.table.services().get(service);
+			EngineShape engine = (described != null) ? described.engine() : null;
+			return (engine != null) ? engine.tokensPerEvent() : 1;
+		}
+
 		private int priority(RouteTerms terms) {
 			Integer own = (this.account != null) ? this.account.priority() : null;
 			return (own != null) ? own : terms.priority();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
@@ -28,6 +28,8 @@
 
 	private final LoadWindow window = new LoadWindow();
 
+	private final EventPace pace = new EventPace();
+
 	private double unreadWork;
 
 	private long heardAtNanos;
@@ -79,12 +81,17 @@
 	}
 
 	/**
-	 * Returns whether a request fits into the window.
+	 * Returns whether a request fits into the window and the streams here do not suffer.
 	 * @param ticket the request
+	 * @param nowNanos the time on the monotonic clock
 	 * @return {@code true} if it may be sent now
 	 */
-	boolean hasRoom(PlacementTicket ticket) {
-		return this.window.fits(this.unreadWork, work(ticket));
+	boolean hasRoom(PlacementTicket ticket, long nowNanos) {
+		return this.window.fits(this.unreadWork, work(ticket)) && !this.pace.isStrained(nowNanos);
+	}
+
+	EventPace pace() {
+		return this.pace;
 	}
 
 	/**
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
@@ -25,6 +25,10 @@
 
 	private double unreadWork;
 
+	private int events;
+
+	private long lastEventNanos;
+
 	private boolean answering;
 
 	private boolean ended;
@@ -57,7 +61,7 @@
 
 	@Override
 	public void tokens(int count) {
-		this.controller.heard(this);
+		this.controller.streamed(this);
 	}
 
 	@Override
@@ -99,6 +103,20 @@
 		return taken;
 	}
 
+	/**
+	 * Takes an event of the stream.
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void streamed(long nowNanos) {
+		if (this.events > 0) {
+			double allowed = StreamNeed.allowedGapNanos(facts().terms(), this.events, this.ticket.leftNanos(nowNanos));
+			this.upstream.pace().event(nowNanos - this.lastEventNanos, allowed, nowNanos);
+		}
+		this.events++;
+		this.lastEventNanos = nowNanos;
+		this.upstream.heard(nowNanos);
+	}
+
 	boolean startAnswering() {
 		boolean first = !this.answering && !this.ended;
 		this.answering = true;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -100,7 +100,7 @@
 	 * @return the upstream, or {@code null} if the request must wait
 	 */
 	@Nullable PlacedUpstream chooseFirst(PlacementTicket ticket, long nowNanos) {
-		return choose(ticket, (upstream) -> upstream.hasRoom(ticket), nowNanos);
+		return choose(ticket, (upstream) -> upstream.hasRoom(ticket, nowNanos), nowNanos);
 	}
 
 	private @Nullable PlacedUpstream choose(PlacementTicket ticket, Predicate<PlacedUpstream> hasRoom, long nowNanos) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -277,11 +277,10 @@
 		});
 	}
 
-	void heard(PlacementGrant grant) {
-		decide(() -> {
-			grant.placed().heard(this.clock.nanoTime());
-			return true;
-		});
+	void streamed(PlacementGrant grant) {
+		synchronized (this) {
+			grant.streamed(this.clock.nanoTime());
+		}
 	}
 
 	void ended(PlacementGrant grant, AttemptResult result) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RequestTerms.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RequestTerms.java
@@ -19,10 +19,12 @@
  * @param answerWithin the longest time from the arrival to the whole answer, or
  * {@code null} for none
  * @param resumable whether a cut stream may be continued at another upstream
+ * @param tokensPerEvent the generated tokens that one event of a stream carries
  * @param prompt the size and content of a model request
  */
 public record RequestTerms(@Nullable String service, int priority, int maximumAttempts, @Nullable Duration objective,
-		@Nullable Duration pauseObjective, @Nullable Duration answerWithin, boolean resumable, PromptShape prompt) {
+		@Nullable Duration pauseObjective, @Nullable Duration answerWithin, boolean resumable, int tokensPerEvent,
+		PromptShape prompt) {
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -36,7 +38,7 @@
 	public static RequestTerms of(CatalogueEntry entry, Tier tier, PromptShape prompt) {
 		return new RequestTerms(entry.upstreams(), tier.ordinal(), Integer.MAX_VALUE,
 				duration(entry.firstTokenSeconds()), duration(entry.tokenGapSeconds()),
-				duration(entry.effectiveLimits().answerSeconds()), Boolean.TRUE.equals(entry.resumable()), prompt);
+				duration(entry.effectiveLimits().answerSeconds()), Boolean.TRUE.equals(entry.resumable()), 1, prompt);
 	}
 
 	private static @Nullable Duration duration(@Nullable Double seconds) {
