Notice callers that leave after their body was read

The watch read through the conduit of the body, which is at its end and never wakes up again; event lines showed caller-left only when a first event could not be written, up to 3.9 s late. Ruled out: withdrawal from the queue (the ticket was never asked). Change: the watch reads the connection's own conduit. Test: GatewayTests aRequestWithoutAnAnswerIsCancelled, hung before, passes now.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayFixture.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -32,6 +33,7 @@
 import org.cyclamenstall.junit.ScriptedUpstream;
 import org.cyclamenstall.kernel.Closer;
 import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.settings.DaemonSettings;
 
 /**
@@ -57,6 +59,8 @@
 
 	private static final String KEY = "secret";
 
+	private static final int POLL_MILLIS = 5;
+
 	private static final int SOCKET_TIMEOUT_MILLIS = 20_000;
 
 	private final Closer closer = new Closer();
@@ -86,6 +90,24 @@
 		return new GatewayFixture(upstreams, List.of());
 	}
 
+	/**
+	 * Waits until the daemon has read the head of a request.
+	 */
+	void awaitOpenRequest() throws InterruptedException {
+		while (this.server.openRequests() == 0) {
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+	}
+
+	/**
+	 * Waits until an attempt ended in a way.
+	 */
+	void awaitResult(AttemptResult result) throws InterruptedException {
+		while (!this.controller.results().contains(result)) {
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+	}
+
 	Socket open() throws IOException {
 		Socket socket = this.closer
 			.register(new Socket(this.server.address().getAddress(), this.server.address().getPort()));
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.hosts.ListedHost;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -264,6 +266,30 @@
 			}
 		}
 
+		@ParameterizedTest
+		@ValueSource(booleans = { true, false })
+		void aRequestWithoutAnAnswerIsCancelled(boolean bodyComesLater) throws Exception {
+			CountDownLatch arrived = new CountDownLatch(1);
+			ScriptedUpstream.Script silent = (request, attempt, output) -> {
+				arrived.countDown();
+				LockSupport.park();
+			};
+			try (GatewayFixture gateway = GatewayFixture.inFrontOf(silent)) {
+				Socket socket = gateway.open();
+				String body = GatewayFixture.CHAT_BODY + " ".repeat(2_000);
+				String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer " + gateway.key
+						+ "\r\nContent-Length: " + body.length() + "\r\n\r\n";
+				socket.getOutputStream().write((head + (bodyComesLater ? "" : body)).getBytes(StandardCharsets.UTF_8));
+				if (bodyComesLater) {
+					gateway.awaitOpenRequest();
+					socket.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+				}
+				arrived.await();
+				socket.close();
+				gateway.awaitResult(AttemptResult.CANCELLED);
+			}
+		}
+
 	}
 
 	@Nested
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerWatch.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerWatch.java
@@ -38,6 +38,8 @@
 	static CallerWatch start(HttpServerExchange exchange, Runnable left) {
 		CallerWatch watch = new CallerWatch((HttpServerConnection) exchange.getConnection(), left);
 		if (watch.connection.getExtraBytes() == null) {
+			// The conduit of a body that was read to its end never wakes up again.
+			watch.source.setConduit(watch.connection.getOriginalSourceConduit());
 			watch.source.setReadListener((channel) -> watch.readable());
 			watch.source.resumeReads();
 		}
