--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/events/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of the event log.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.events;
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/follower/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of following a watched store.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.follower;
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/upstream/RelayedEventParserTests.java
@@ -0,0 +1,99 @@
+package org.cyclamenstall.test.upstream;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cyclamenstall.internal.upstream.AttemptFailure;
+import org.cyclamenstall.internal.upstream.InvalidAnswerException;
+import org.cyclamenstall.internal.upstream.RelayedEventParser;
+import org.cyclamenstall.junit.ThrownBy;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of {@link RelayedEventParser}.
+ */
+class RelayedEventParserTests {
+
+	private final List<String> events = new ArrayList<>();
+
+	private void feed(RelayedEventParser parser, String text, int chunk) {
+		byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+		for (int start = 0; start < bytes.length; start += chunk) {
+			parser.parse(ByteBuffer.wrap(bytes, start, Math.min(chunk, bytes.length - start)),
+					(event) -> this.events.add(new String(event.bytes(), StandardCharsets.UTF_8)));
+		}
+	}
+
+	@Nested
+	class WhenAStreamIsWhole {
+
+		@ParameterizedTest
+		@ValueSource(ints = { 1, 2, 7, 1_000 })
+		void eventsAreLeftAsTheyAreHoweverTheyArrive(int chunk) {
+			RelayedEventParser parser = new RelayedEventParser(null, 1);
+			feed(parser, "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\r\ndata: b\r\n\r\n", chunk);
+			assertThat(RelayedEventParserTests.this.events,
+					contains("id: 1\ndata: a\n\n", "weight-versions: 2\nid: 2\r\ndata: b\r\n\r\n"));
+			assertThat(parser.mayEndHere(), is(true));
+		}
+
+	}
+
+	@Nested
+	class WhenAStreamIsCut {
+
+		@Test
+		void aPartOfAnEventIsNotRelayed() {
+			RelayedEventParser parser = new RelayedEventParser(null, 1);
+			feed(parser, "id: 1\ndata: a", 1_000);
+			assertThat(RelayedEventParserTests.this.events, empty());
+			assertThat(parser.mayEndHere(), is(false));
+		}
+
+	}
+
+	@Nested
+	class WhenAStreamGoesOnElsewhere {
+
+		@Test
+		void whatTheCallerHasIsPassedOver() {
+			RelayedEventParser parser = new RelayedEventParser("2", 1);
+			feed(parser, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", 1_000);
+			assertThat(RelayedEventParserTests.this.events, contains("id: 3\ndata: c\n\n"));
+		}
+
+		@Test
+		void aMissingEventIsAnError() {
+			RelayedEventParser parser = new RelayedEventParser("2", 1);
+			InvalidAnswerException thrown = ThrownBy.call(InvalidAnswerException.class,
+					() -> feed(parser, "id: 4\ndata: d\n\n", 1_000));
+			assertThat(thrown.failure(), is(AttemptFailure.MALFORMED));
+		}
+
+	}
+
+	@Nested
+	class WhenBytesAreNoEvents {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "data: a\n\n", "id: x\ndata: a\n\n", "HTTP/1.1 200 OK\r\n\r\n" })
+		void theyAreAnError(String bytes) {
+			RelayedEventParser parser = new RelayedEventParser(null, 1);
+			InvalidAnswerException thrown = ThrownBy.call(InvalidAnswerException.class,
+					() -> feed(parser, bytes, 1_000));
+			assertThat(thrown.failure(), is(AttemptFailure.MALFORMED));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/upstream/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of reading upstreams' answers.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.upstream;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/StoreFollower.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/StoreFollower.java
@@ -121,7 +121,7 @@
 	 * Asks the store once.
 	 * @return whether it answered
 	 */
-	boolean step() {
+	public boolean step() {
 		long sentAtNanos = this.freshness.nowNanos();
 		try {
 			if (this.listed) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EventPace.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EventPace.java
@@ -7,10 +7,11 @@
  */
 final class EventPace {
 
-	private static final double WEIGHT = 0.04;
+	/** The measured need loses half of its weight in this time. */
+	private static final double HALF_LIFE_NANOS = 0.5e9;
 
-	/** The measured need loses half of its weight in this time without events. */
-	private static final double HALF_LIFE_NANOS = 0.7e9;
+	/** After this time without events the measured need fades. */
+	private static final double FADE_AFTER_NANOS = 1e9;
 
 	/** The part of the needed pace from which an engine takes no more prompts. */
 	private static final double STRAINED = 0.6;
@@ -29,7 +30,8 @@
 	 */
 	void event(double gapNanos, double allowedNanos, long nowNanos) {
 		double sample = Math.min(LARGEST_RATIO, gapNanos / Math.max(1, allowedNanos));
-		this.ratio = current(nowNanos) * (1 - WEIGHT) + sample * WEIGHT;
+		double kept = Math.pow(0.5, (nowNanos - this.atNanos) / HALF_LIFE_NANOS);
+		this.ratio = this.ratio * kept + sample * (1 - kept);
 		this.atNanos = nowNanos;
 	}
 
@@ -38,7 +40,8 @@
 	}
 
 	double current(long nowNanos) {
-		return this.ratio * Math.pow(0.5, (nowNanos - this.atNanos) / HALF_LIFE_NANOS);
+		double silentNanos = Math.max(0, nowNanos - this.atNanos - FADE_AFTER_NANOS);
+		return this.ratio * Math.pow(0.5, silentNanos / HALF_LIFE_NANOS);
 	}
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -193,7 +193,7 @@
 	/**
 	 * Looks at the requests that wait: which are late, which are given up, which fit now.
 	 */
-	void tick() {
+	public void tick() {
 		decide(() -> {
 			long nowNanos = this.clock.nanoTime();
 			this.tickScheduled = false;
