--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EventPace.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EventPace.java
@@ -14,7 +14,7 @@
 	private static final double FADE_AFTER_NANOS = 1e9;
 
 	/** The part of the needed pace from which an engine takes no more prompts. */
-	private static final double STRAINED = 0.6;
+	private static final double STRAINED = 1.7;
 
 	private static final double LARGEST_RATIO = 3;
 
