Let the number of quiet engines grow with the demand for them

Change: the work of streams that need quiet, measured over seconds, decides how many engines are quiet.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EngineDivision.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EngineDivision.java
@@ -22,23 +22,25 @@
 	/** The pause objective up to which a stream needs a quiet engine. */
 	private static final Duration LONGEST_QUIET_PAUSE = Duration.ofMillis(350);
 
-	/** The part of the engines that is kept free of long prompts. */
-	private static final double QUIET_PART = 1.0 / 3;
-
 	private final Set<String> quietEngines = new HashSet<>();
 
 	/**
 	 * Divides engines.
 	 * @param live the engines that take work
+	 * @param quiet how many of them are kept quiet
 	 */
-	EngineDivision(List<PlacedUpstream> live) {
+	EngineDivision(List<PlacedUpstream> live, int quiet) {
 		live.stream()
 			.map((upstream) -> upstream.host().host())
 			.sorted(Comparator.comparingLong((String name) -> Rendezvous.score("division", name)))
-			.limit((live.size() > 1) ? Math.max(1, Math.round(live.size() * QUIET_PART)) : 0)
+			.limit(quiet)
 			.forEach(this.quietEngines::add);
 	}
 
+	int quietCount() {
+		return this.quietEngines.size();
+	}
+
 	/**
 	 * Returns whether an engine is kept free of long prompts.
 	 * @param upstream the engine
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -25,6 +25,9 @@
 	/** The time in which upstreams take at least what fits their windows. */
 	private static final double WINDOW_NANOS = 1e9;
 
+	/** How long a division of the engines stands at least. */
+	private static final long DIVISION_NANOS = 250_000_000L;
+
 	private static final double USUAL_WEIGHT = 0.05;
 
 	/** An engine's memory where the configuration does not tell it. */
@@ -40,7 +43,11 @@
 
 	private final Placement placement;
 
-	private EngineDivision division = new EngineDivision(List.of());
+	private EngineDivision division = new EngineDivision(List.of(), 0);
+
+	private final QuietDemand quietDemand = new QuietDemand();
+
+	private long dividedAtNanos;
 
 	private final WindowedRetryBudget budget;
 
@@ -52,7 +59,7 @@
 		this.budget = new WindowedRetryBudget(budgetWindow, budgetShare, budgetFloor);
 	}
 
-	void listed(List<ListedHost> hosts) {
+	void listed(List<ListedHost> hosts, long nowNanos) {
 		Map<String, PlacedUpstream> earlier = new LinkedHashMap<>(this.upstreamsByName);
 		this.upstreamsByName.clear();
 		for (ListedHost host : hosts) {
@@ -63,8 +70,29 @@
 			this.upstreamsByName.put(host.host(),
 					(known != null) ? known : new PlacedUpstream(host, DEFAULT_MEMORY_TOKENS));
 		}
-		this.division = new EngineDivision(
-				this.upstreamsByName.values().stream().filter(PlacedUpstream::isLive).toList());
+		divide(nowNanos);
+	}
+
+	/**
+	 * Counts a new request.
+	 * @param facts what is known of it
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void requested(RequestFacts facts, long nowNanos) {
+		this.budget.requested(nowNanos);
+		if (facts.promptTokens() > 0) {
+			this.quietDemand.requested(facts, nowNanos);
+		}
+		if (nowNanos - this.dividedAtNanos > DIVISION_NANOS) {
+			divide(nowNanos);
+		}
+	}
+
+	private void divide(long nowNanos) {
+		this.dividedAtNanos = nowNanos;
+		List<PlacedUpstream> live = this.upstreamsByName.values().stream().filter(PlacedUpstream::isLive).toList();
+		this.division = new EngineDivision(live,
+				this.quietDemand.quietEngines(live.size(), this.division.quietCount(), nowNanos));
 	}
 
 	int size() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -134,7 +134,7 @@
 					"No live upstream serves entry " + ticket.facts().entry().name()));
 			return;
 		}
-		pool.budget().requested(nowNanos);
+		pool.requested(ticket.facts(), nowNanos);
 		pool.waiting().add(ticket);
 		double waitNanos = pool.waitNanos(pool.waiting().workAhead(ticket), nowNanos);
 		if (this.overload.isHopeless(waitNanos, ticket.leftNanos(nowNanos), ticket.wholeNanos())) {
@@ -319,7 +319,7 @@
 		decide(() -> {
 			this.snapshot = newer;
 			this.pools.forEach((service, pool) -> {
-				pool.listed(newer.hosts(service));
+				pool.listed(newer.hosts(service), this.clock.nanoTime());
 				serve(pool, this.clock.nanoTime());
 			});
 			return true;
@@ -334,7 +334,7 @@
 			pool = new PlacementPool(new LeastCostPlacement(this.failureDomain, this.random),
 					Duration.ofMillis(this.settings.retryWindowMillis()), this.settings.retryShare(),
 					this.settings.retryFloor(), this.events);
-			pool.listed(this.snapshot.hosts(service));
+			pool.listed(this.snapshot.hosts(service), this.clock.nanoTime());
 			this.pools.put(service, pool);
 		}
 		return pool;
