Take SIGHUP and changed settings files; serve metrics

Cause: the virtual machine ends at SIGHUP unless it is handled, and settings may change without a signal. Metrics are served on the port that the deploy file names. Before: a SIGHUP would have ended the process (by reading, not played).

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -90,6 +90,9 @@
 		CallerServer server = new CallerServer(settings.callers(), protocol, controller(), new NoClaims(), this.clock,
 				this.metrics, events)
 			.withPort(settings.readiness(), new ProbeHandler(settings.readinessPath(), this::readiness));
+		if (settings.metrics() != null) {
+			server.withPort(settings.metrics(), new MetricsHandler(this.metrics));
+		}
 		this.services.register(ServiceNames.CALLERS, server);
 		this.services.register(ServiceNames.STORE_FOLLOWER, follower);
 		this.routes.addListener(this::boundCallers);
@@ -133,6 +136,29 @@
 		return sinceNanos >= LEAST_SHUTDOWN.toNanos() && callers().openRequests() == 0;
 	}
 
+	/**
+	 * Takes settings that were read again. What listens cannot change while the daemon
+	 * runs; the bound on keys is in force at once.
+	 * @param newer the settings
+	 * @param cause what asked for it
+	 */
+	public void reload(RoutedDaemonSettings newer, String cause) {
+		this.keys.bound(newer.keyBound());
+		boolean sameAddresses = newer.callers().equals(this.settings.callers())
+				&& newer.readiness().equals(this.settings.readiness());
+		this.events.record(new Event.SettingsReloaded(cause, !newer.equals(this.settings),
+				sameAddresses ? "" : "other addresses need a restart"));
+	}
+
+	/**
+	 * Tells that the settings could not be read again; those in force stand.
+	 * @param cause what asked for it
+	 * @param detail why
+	 */
+	public void reloadFailed(String cause, String detail) {
+		this.events.record(new Event.SettingsReloaded(cause, false, detail));
+	}
+
 	@Override
 	public void close() {
 		this.services.close();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/ShutdownSignal.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/ShutdownSignal.java
@@ -51,6 +51,21 @@
 		}
 	}
 
+	/**
+	 * Waits for the first signal.
+	 * @param wait the longest wait
+	 * @return whether it was raised
+	 */
+	public boolean await(Duration wait) {
+		try {
+			return this.first.await(wait.toMillis(), TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return true;
+		}
+	}
+
 	/**
 	 * Waits for the second signal.
 	 * @param wait the longest wait
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/KeyRights.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/KeyRights.java
@@ -15,7 +15,7 @@
 
 	private final Freshness freshness;
 
-	private final @Nullable Duration bound;
+	private volatile @Nullable Duration bound;
 
 	/**
 	 * Creates a rule.
@@ -27,12 +27,21 @@
 		this.bound = bound;
 	}
 
+	/**
+	 * Changes the bound.
+	 * @param newer how long keys are believed, or {@code null} if for ever
+	 */
+	public void bound(@Nullable Duration newer) {
+		this.bound = newer;
+	}
+
 	/**
 	 * Returns whether keys are believed now.
 	 * @return {@code true} if the configuration was confirmed within the bound
 	 */
 	public boolean areConfirmed() {
-		return this.bound == null || this.freshness.isWithin(this.bound);
+		Duration present = this.bound;
+		return present == null || this.freshness.isWithin(present);
 	}
 
 	/**
