--- a/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/CommandContext.java
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/CommandContext.java
@@ -21,6 +21,14 @@
 public record CommandContext(CommandLine line, OutputFormat format, InputStream input, PrintStream output,
 		PrintStream errors) {
 
+	/**
+	 * Returns the arguments.
+	 * @return the arguments in order
+	 */
+	List<String> arguments() {
+		return this.line.getArgList();
+	}
+
 	/**
 	 * Returns the only argument.
 	 * @param what what the argument is
--- a/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/Subcommands.java
+++ b/org.cyclamenstall.pgm/src/main/java/org/cyclamenstall/pgm/command/Subcommands.java
@@ -10,7 +10,8 @@
 
 	private static final List<Subcommand> ALL = List.of(new CatalogueListCommand(), new CatalogueShowCommand(),
 			new CataloguePutCommand(), new CatalogueDeleteCommand(), new CatalogueHistoryCommand(), new StatusCommand(),
-			new HostsCommand(), new UpstreamsCommand(), new SettingsCheckCommand(), new KeyHashCommand());
+			new HostsCommand(), new UpstreamsCommand(), new SettingsCheckCommand(), new KeyHashCommand(),
+			new ExplainCommand());
 
 	private Subcommands() {
 	}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.apache.commons.rng.simple.RandomSource;
 import org.cyclamenstall.catalogue.CatalogueEntry;
 import org.cyclamenstall.catalogue.EntryKind;
@@ -53,7 +54,8 @@
 					"domain-" + number % 4, HostState.LIVE, 128, 1));
 		}
 		this.controller = new PlacementTrafficController(new PlacementSettings(10_000, 0.16, 4), new Hosts(),
-				failureDomain, clock, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), EventLog.NONE);
+				failureDomain, clock, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), EventLog.NONE,
+				new PrometheusRegistry());
 		this.controller.start();
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -33,6 +35,8 @@
  */
 public final class RoutedDaemon implements AutoCloseable {
 
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
 	/**
@@ -84,7 +88,7 @@
 		follower.addListener(this.routes);
 		follower.addListener(hosts);
 		this.services.register(ServiceNames.TRAFFIC, new PlacementTrafficController(settings.placement(), hosts,
-				settings.failureDomain(), this.clock, random(), events));
+				settings.failureDomain(), this.clock, random(), events, this.metrics));
 		RoutedCallerProtocol protocol = new RoutedCallerProtocol(this.routes, this.keys, deployment.heads(),
 				deployment.upstreams(), deployment.answers(), settings.host(), this.incarnation, this.clock, random());
 		CallerServer server = new CallerServer(settings.callers(), protocol, controller(), new NoClaims(), this.clock,
@@ -96,6 +100,10 @@
 		this.services.register(ServiceNames.CALLERS, server);
 		this.services.register(ServiceNames.STORE_FOLLOWER, follower);
 		this.routes.addListener(this::boundCallers);
+		gauge("cyclamenstall_confirmed_age_seconds", "Time since the store was last asked with success.",
+				() -> this.freshness.ageNanos() / NANOS_PER_SECOND);
+		gauge("cyclamenstall_route_table_version", "Version of the routes in force.",
+				() -> this.routes.current().map(RouteTable::version).orElse(0L));
 	}
 
 	/**
@@ -193,6 +201,14 @@
 				table.callerBounds().idleTime().multipliedBy(2));
 	}
 
+	private void gauge(String name, String help, DoubleSupplier value) {
+		GaugeWithCallback.builder()
+			.name(name)
+			.help(help)
+			.callback((callback) -> callback.call(value.getAsDouble()))
+			.register(this.metrics);
+	}
+
 	private PlacementTrafficController controller() {
 		return this.services.find(ServiceNames.TRAFFIC, PlacementTrafficController.class);
 	}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementMetrics.java
@@ -0,0 +1,50 @@
+package org.cyclamenstall.internal.policy.placement;
+
+import java.util.Locale;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.Unit;
+import org.cyclamenstall.catalogue.Tier;
+import org.cyclamenstall.policy.RetryDecision;
+import org.cyclamenstall.policy.RetryReason;
+
+/**
+ * Counts the decisions of a placement controller. Thread-safe.
+ */
+final class PlacementMetrics {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private static final double[] WAIT_SECONDS = { 0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10 };
+
+	private final Counter retries;
+
+	private final Histogram waits;
+
+	PlacementMetrics(PrometheusRegistry registry) {
+		this.retries = Counter.builder()
+			.name("cyclamenstall_placement_retries_total")
+			.help("Further attempts asked for, by reason and decision.")
+			.labelNames("reason", "decision")
+			.register(registry);
+		this.waits = Histogram.builder()
+			.name("cyclamenstall_placement_wait_seconds")
+			.help("Time from the arrival to the first attempt, by class.")
+			.unit(Unit.SECONDS)
+			.labelNames("class")
+			.classicOnly()
+			.classicUpperBounds(WAIT_SECONDS)
+			.register(registry);
+	}
+
+	void retried(RetryReason reason, RetryDecision decision) {
+		this.retries.labelValues(reason.label(), decision.name().toLowerCase(Locale.ROOT).replace('_', '-')).inc();
+	}
+
+	void waited(Tier tier, long nanos) {
+		this.waits.labelValues(tier.label()).observe(nanos / NANOS_PER_SECOND);
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -62,6 +63,8 @@
 
 	private final EventLog events;
 
+	private final PlacementMetrics metrics;
+
 	private HostSnapshot snapshot = HostSnapshot.EMPTY;
 
 	private @Nullable ScheduledExecutorService timer;
@@ -82,9 +85,10 @@
 	 * @param clock the monotonic clock
 	 * @param random the source of randomness
 	 * @param events takes the events
+	 * @param registry takes the metrics
 	 */
 	public PlacementTrafficController(PlacementSettings settings, HostList hosts, String failureDomain,
-			MonotonicClock clock, UniformRandomProvider random, EventLog events) {
+			MonotonicClock clock, UniformRandomProvider random, EventLog events, PrometheusRegistry registry) {
 		this.settings = settings;
 		this.hosts = hosts;
 		this.failureDomain = failureDomain;
@@ -92,6 +96,7 @@
 		this.random = random;
 		this.overload = new OverloadRule(random);
 		this.events = events;
+		this.metrics = new PlacementMetrics(registry);
 	}
 
 	@Override
@@ -157,6 +162,7 @@
 		pool.waiting().serve((ticket) -> {
 			PlacedUpstream upstream = pool.chooseFirst(ticket, nowNanos);
 			if (upstream != null) {
+				this.metrics.waited(ticket.facts().tier(), nowNanos - ticket.facts().arrivalNanos());
 				grant(ticket, ticket.listener(), upstream, FIRST_ATTEMPT, nowNanos);
 			}
 			return upstream != null;
@@ -229,25 +235,30 @@
 
 	RetryDecision retry(PlacementTicket ticket, RetryReason reason, GrantListener listener) {
 		return decide(() -> {
-			long nowNanos = this.clock.nanoTime();
-			if (ticket.unprovenAttempts() >= ticket.facts().terms().maximumAttempts()
-					|| ticket.provenAttempts() > PROVEN_RETRIES) {
-				return RetryDecision.ATTEMPTS_EXHAUSTED;
-			}
-			PlacementPool pool = poolOf(ticket);
-			PlacedUpstream upstream = pool.chooseAgain(ticket, nowNanos);
-			if (upstream == null) {
-				return RetryDecision.NO_UPSTREAM;
-			}
-			boolean arrived = reason != RetryReason.UNREACHABLE;
-			if (arrived && !pool.budget().take(nowNanos)) {
-				return RetryDecision.BUDGET_SPENT;
-			}
-			grant(ticket, listener, upstream, reason.label(), nowNanos);
-			return RetryDecision.GRANTED;
+			RetryDecision decision = tryAgain(ticket, reason, listener, this.clock.nanoTime());
+			this.metrics.retried(reason, decision);
+			return decision;
 		});
 	}
 
+	private RetryDecision tryAgain(PlacementTicket ticket, RetryReason reason, GrantListener listener, long nowNanos) {
+		if (ticket.unprovenAttempts() >= ticket.facts().terms().maximumAttempts()
+				|| ticket.provenAttempts() > PROVEN_RETRIES) {
+			return RetryDecision.ATTEMPTS_EXHAUSTED;
+		}
+		PlacementPool pool = poolOf(ticket);
+		PlacedUpstream upstream = pool.chooseAgain(ticket, nowNanos);
+		if (upstream == null) {
+			return RetryDecision.NO_UPSTREAM;
+		}
+		boolean arrived = reason != RetryReason.UNREACHABLE;
+		if (arrived && !pool.budget().take(nowNanos)) {
+			return RetryDecision.BUDGET_SPENT;
+		}
+		grant(ticket, listener, upstream, reason.label(), nowNanos);
+		return RetryDecision.GRANTED;
+	}
+
 	private void grant(PlacementTicket ticket, GrantListener listener, PlacedUpstream upstream, String reason,
 			long nowNanos) {
 		PlacementGrant grant = new PlacementGrant(this, ticket, upstream, nowNanos);
