--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/StoreFollower.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/StoreFollower.java
@@ -29,7 +29,7 @@
 	private static final Logger logger = LogManager.getLogger(StoreFollower.class);
 
 	/** How long the store waits for a change before it answers without one. */
-	private static final Duration WAIT = Duration.ofMillis(1_000);
+	private static final Duration WAIT = Duration.ofMillis(2_000);
 
 	private static final Duration TIMEOUT_BEYOND_WAIT = Duration.ofMillis(700);
 
