--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/ErrorReport.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/ErrorReport.java
@@ -5,6 +5,7 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.ErrorTable;
 import org.cyclamenstall.errors.Outcome;
+import org.cyclamenstall.policy.Refusal;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,4 +29,30 @@
 				ErrorTable.answerFor(kind).retryAfter());
 	}
 
+	/**
+	 * Creates the report of a request that certainly did not run, or of which nothing
+	 * more is known than its kind tells.
+	 * @param refusal why, and when to come back
+	 * @return the report
+	 */
+	static ErrorReport of(Refusal refusal) {
+		ErrorReport usual = of(refusal.kind(), refusal.detail());
+		return (refusal.retryAfter() != null)
+				? new ErrorReport(usual.kind(), usual.outcome(), usual.message(), refusal.retryAfter()) : usual;
+	}
+
+	/**
+	 * Creates the report of a request that may have run. A kind whose status promises the
+	 * contrary is not told.
+	 * @param refusal why it failed in the end
+	 * @param unproven how the attempt failed that may have run, or {@code null} if none
+	 * did
+	 * @return the report
+	 */
+	static ErrorReport uncertain(Refusal refusal, @Nullable ErrorKind unproven) {
+		boolean promises = StatusPromise.isMadeBy(ErrorTable.answerFor(refusal.kind()).status());
+		ErrorKind told = (promises && unproven != null) ? unproven : refusal.kind();
+		return new ErrorReport(told, Outcome.UNKNOWN, refusal.detail(), null);
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
@@ -1,15 +1,10 @@
 package org.cyclamenstall.internal.gateway;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
 import org.cyclamenstall.claims.ClaimDecision;
 import org.cyclamenstall.errors.ErrorKind;
-import org.cyclamenstall.errors.ErrorTable;
-import org.cyclamenstall.errors.Outcome;
 import org.cyclamenstall.internal.upstream.AnswerHead;
 import org.cyclamenstall.internal.upstream.AttemptFailure;
 import org.cyclamenstall.internal.upstream.ResumePoint;
@@ -23,7 +18,6 @@
 import org.cyclamenstall.policy.RetryReason;
 import org.cyclamenstall.policy.Ticket;
 import org.jspecify.annotations.Nullable;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /**
@@ -55,9 +49,9 @@
 
 	private final RequestJournal journal;
 
-	private final List<AttemptRun> outstanding = new ArrayList<>();
+	private final AttemptSet outstanding = new AttemptSet();
 
-	private final List<XnioExecutor.Key> timers = new ArrayList<>();
+	private final RequestTimers timers;
 
 	private @Nullable Ticket ticket;
 
@@ -79,6 +73,7 @@
 		this.request = request;
 		this.services = services;
 		this.thread = exchange.getIoThread();
+		this.timers = new RequestTimers(this.thread);
 		this.answer = new AnswerRelay(exchange, request.id(), services.writer(), this);
 		this.claim = new RequestClaim(request, services.claims());
 		this.progress = new RelayProgress(request.facts(), services);
@@ -94,7 +89,7 @@
 		Duration answerWithin = facts().terms().answerWithin();
 		if (answerWithin != null) {
 			long sinceArrival = this.services.clock().nanoTime() - facts().arrivalNanos();
-			after(answerWithin.minusNanos(sinceArrival), this::answerTimedOut);
+			this.timers.after(answerWithin.minusNanos(sinceArrival), this::answerTimedOut);
 		}
 		AttemptRun first = new AttemptRun(this, this.thread);
 		this.outstanding.add(first);
@@ -336,13 +331,12 @@
 		if (held == null || this.answer.isStreaming() || !facts().idempotent()) {
 			return;
 		}
-		held.hedgeDelay().ifPresent((delay) -> after(delay, this::hedge));
+		held.hedgeDelay().ifPresent((delay) -> this.timers.after(delay, this::hedge));
 	}
 
 	private void hedge() {
 		Ticket held = this.ticket;
-		if (hasEnded() || held == null || this.winner != null || this.outstanding.size() != 1
-				|| !this.outstanding.get(0).isOpen()) {
+		if (hasEnded() || held == null || this.winner != null || !this.outstanding.isOneOpen()) {
 			return;
 		}
 		AttemptRun second = new AttemptRun(this, this.thread);
@@ -356,7 +350,7 @@
 		if (this.winner == null) {
 			this.winner = run;
 			this.progress.answerStarted(run.grant());
-			endOthers(run, AttemptResult.HEDGE_LOST);
+			this.outstanding.endAllBut(run, AttemptResult.HEDGE_LOST);
 		}
 		return this.winner == run;
 	}
@@ -393,7 +387,7 @@
 		if (hasEnded()) {
 			return;
 		}
-		this.mayHaveRun |= this.outstanding.stream().anyMatch(AttemptRun::isSending);
+		this.mayHaveRun |= this.outstanding.isAnySending();
 		fail(this.mayHaveRun ? ErrorKind.UPSTREAM_TIMEOUT : ErrorKind.DEADLINE_EXCEEDED,
 				"no whole answer within the time that the request has");
 	}
@@ -408,7 +402,8 @@
 		}
 		conclude(AttemptResult.CANCELLED);
 		boolean certain = this.claim.giveUp(this.mayHaveRun);
-		ErrorReport report = report(refusal, certain);
+		ErrorReport report = certain ? ErrorReport.of(refusal)
+				: ErrorReport.uncertain(refusal, this.mayHaveRun ? this.unprovenFailure : null);
 		this.services.metrics().failed(report.kind(), report.outcome());
 		this.journal.failed(report);
 		if (!this.callerLeft) {
@@ -416,20 +411,6 @@
 		}
 	}
 
-	// Words the error. A kind whose status promises that the request did not run is told
-	// only if that is certain.
-	private ErrorReport report(Refusal refusal, boolean certain) {
-		ErrorKind kind = refusal.kind();
-		if (certain) {
-			Duration retryAfter = (refusal.retryAfter() != null) ? refusal.retryAfter()
-					: ErrorTable.answerFor(kind).retryAfter();
-			return new ErrorReport(kind, ErrorTable.answerFor(kind).outcome(), refusal.detail(), retryAfter);
-		}
-		boolean promises = StatusPromise.isMadeBy(ErrorTable.answerFor(kind).status());
-		return new ErrorReport((promises && this.mayHaveRun) ? this.unprovenFailure : kind, Outcome.UNKNOWN,
-				refusal.detail(), null);
-	}
-
 	private void deliver(@Nullable String upstream, WholeAnswer whole) {
 		if (hasEnded()) {
 			return;
@@ -447,28 +428,19 @@
 	}
 
 	private void conclude(AttemptResult result) {
-		this.mayHaveRun |= this.outstanding.stream().anyMatch(AttemptRun::isSending);
+		this.mayHaveRun |= this.outstanding.isAnySending();
 		this.lifecycle.end();
-		this.timers.forEach(XnioExecutor.Key::remove);
+		this.timers.cancel();
 		if (this.watch != null) {
 			this.watch.stop();
 		}
-		endOthers(null, result);
-		boolean waits = this.outstanding.stream().anyMatch((run) -> !run.isOpen());
-		if (waits && this.ticket != null && this.ticket.withdraw()) {
-			this.outstanding.removeIf((run) -> !run.isOpen());
+		this.outstanding.endAllBut(null, result);
+		if (this.outstanding.isAnyWaiting() && this.ticket != null && this.ticket.withdraw()) {
+			this.outstanding.removeWaiting();
 		}
 		finishTicket();
 	}
 
-	private void endOthers(@Nullable AttemptRun kept, AttemptResult result) {
-		for (AttemptRun run : List.copyOf(this.outstanding)) {
-			if (run != kept && run.isOpen()) {
-				run.end(result);
-			}
-		}
-	}
-
 	private void finishTicket() {
 		if (hasEnded() && this.outstanding.isEmpty() && !this.finished && this.ticket != null) {
 			this.finished = true;
@@ -484,8 +456,4 @@
 		return this.request.facts();
 	}
 
-	private void after(Duration delay, Runnable task) {
-		this.timers.add(this.thread.executeAfter(task, Math.max(0, delay.toMillis()), TimeUnit.MILLISECONDS));
-	}
-
 }
