--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/UpstreamTrust.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/UpstreamTrust.java
@@ -16,7 +16,7 @@
 
 	private static final double FAILURE_WEIGHT = 0.15;
 
-	/** Failures are forgiven by half in this time. */
+	/** The share of failures halves in this time without news. */
 	private static final double HALF_LIFE_NANOS = 3e9;
 
 	private static final int FAILURES_IN_A_ROW = 3;
