Keep a begun stream waiting for room; close the fault proxy for certain

Ruled out: a wrong answer of the engine (it answers 429 with the attempt's id). Change: a failure that proves that the upstream did not run the request keeps its own reason also in the middle of a stream, and refusals are not counted once the answer has begun.

Cause of ConsulConfigurationStoreTests#aRefusedConnectionIsNotSent: the operating system goes on taking connections after a listening socket was closed, until the thread that waits in accept has woken up. Change: the fault proxy waits for its thread.

Before: GatewayTests#aFullUpstreamIsNoFurtherCut, RetryTests#aStreamThatHasBegunWaitsForRoomHoweverOftenItIsRefused and FaultProxyTests#theListenerIsGoneWhenTheCallReturns fail.

--- a/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/FaultProxy.java
+++ b/org.cyclamenstall.standin/src/main/java/org/cyclamenstall/standin/faultproxy/FaultProxy.java
@@ -35,6 +35,8 @@
 
 	private ServerSocket listener;
 
+	private Thread acceptor;
+
 	private volatile boolean cut;
 
 	/**
@@ -46,6 +48,7 @@
 		this.server = server;
 		this.listener = listen(new InetSocketAddress(listenAddress, 0));
 		this.address = (InetSocketAddress) this.listener.getLocalSocketAddress();
+		this.acceptor = startToAccept(this.listener);
 	}
 
 	/**
@@ -92,6 +95,7 @@
 		removed.forEach(FaultRule::release);
 		if (this.listener.isClosed()) {
 			this.listener = listen(this.address);
+			this.acceptor = startToAccept(this.listener);
 		}
 	}
 
@@ -131,24 +135,34 @@
 		return thread;
 	}
 
-	private ServerSocket listen(InetSocketAddress listenAddress) {
+	private static ServerSocket listen(InetSocketAddress listenAddress) {
 		try {
-			ServerSocket opened = new ServerSocket(listenAddress.getPort(), BACKLOG, listenAddress.getAddress());
-			daemonThread(() -> accept(opened), "fault-proxy-" + opened.getLocalPort()).start();
-			return opened;
+			return new ServerSocket(listenAddress.getPort(), BACKLOG, listenAddress.getAddress());
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
 	}
 
+	private Thread startToAccept(ServerSocket from) {
+		Thread thread = daemonThread(() -> accept(from), "fault-proxy-" + from.getLocalPort());
+		thread.start();
+		return thread;
+	}
+
+	// The operating system takes connections until the thread that waits in accept has
+	// woken up, so closing the socket is not enough.
 	private void stopListening() {
 		try {
 			this.listener.close();
+			this.acceptor.join();
 		}
 		catch (IOException ex) {
 			logger.debug("Could not close the listener", ex);
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private void accept(ServerSocket from) {
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/faultproxy/FaultProxyTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/faultproxy/FaultProxyTests.java
@@ -2,8 +2,10 @@
 
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.time.Duration;
 
+import org.cyclamenstall.junit.ThrownBy;
 import org.cyclamenstall.standin.caller.CallerAnswer;
 import org.cyclamenstall.standin.caller.CallerCall;
 import org.cyclamenstall.standin.caller.CallerClient;
@@ -25,6 +27,8 @@
  */
 class FaultProxyTests {
 
+	private static final int ROUNDS = 500;
+
 	private static final Duration LIMIT = Duration.ofSeconds(60);
 
 	private final ServiceStandin service = new ServiceStandin("service", "127.0.0.1", 0);
@@ -106,6 +110,17 @@
 			assertThat(FaultProxyTests.this.client.book("/book", "eight", "{}").status(), is(200));
 		}
 
+		@Test
+		void theListenerIsGoneWhenTheCallReturns() {
+			InetSocketAddress address = FaultProxyTests.this.proxy.address();
+			for (int round = 0; round < ROUNDS; round++) {
+				FaultProxyTests.this.proxy.refuse();
+				ThrownBy.call(ConnectException.class,
+						() -> new Socket(address.getAddress(), address.getPort()).close());
+				FaultProxyTests.this.proxy.pass();
+			}
+		}
+
 	}
 
 	@Nested
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
@@ -147,6 +147,17 @@
 			}
 		}
 
+		@Test
+		void aFullUpstreamIsNoFurtherCut() throws IOException {
+			ScriptedUpstream first = new ScriptedUpstream(cutStream("one "));
+			ScriptedUpstream full = new ScriptedUpstream(REFUSES_503);
+			ScriptedUpstream last = new ScriptedUpstream(stream("two "));
+			try (GatewayFixture gateway = new GatewayFixture(List.of(first, full, last), List.of())) {
+				assertThat(gateway.chat(GatewayFixture.CHAT_BODY), endsWith("0\r\n\r\n"));
+				assertThat(gateway.controller.retries(), contains(RetryReason.STREAM_CUT, RetryReason.REFUSED));
+			}
+		}
+
 		@Test
 		void neverLooksWholeWhenItCannotGoOn() throws IOException {
 			try (GatewayFixture gateway = GatewayFixture.inFrontOf(cutStream("one "))) {
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/RetryTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/RetryTests.java
@@ -130,6 +130,30 @@
 			assertThat(decision, equalTo(RetryDecision.ATTEMPTS_EXHAUSTED));
 		}
 
+		@Test
+		void aStreamThatHasBegunWaitsForRoomHoweverOftenItIsRefused() {
+			RecordedListener listener = new RecordedListener();
+			Ticket ticket = this.full.submit(Tier.BULK, listener);
+			listener.grant().firstToken();
+			listener.grant().ended(AttemptResult.PREEMPTED);
+			listener = new RecordedListener();
+			RetryDecision decision = ticket.retry(RetryReason.PREEMPTED, listener);
+			int refusals = 0;
+			while (decision == RetryDecision.GRANTED && refusals < 100) {
+				this.full.advanceMillis(2_000);
+				listener.grant().ended(AttemptResult.REFUSED);
+				refusals++;
+				listener = new RecordedListener();
+				decision = ticket.retry(RetryReason.REFUSED, listener);
+			}
+			assertThat(refusals, equalTo(100));
+			assertThat(decision, equalTo(RetryDecision.GRANTED));
+			this.full.advanceMillis(2_000);
+			listener.grant().ended(AttemptResult.COMPLETED);
+			ticket.finish(1);
+			assertThat(this.full.controller.unfinished(), equalTo(0));
+		}
+
 	}
 
 	@Nested
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
@@ -225,8 +225,8 @@
 			this.journal.attemptFailed(ended, failure, detail, "another attempt goes on");
 			return;
 		}
-		boolean again = mayRepeat()
-				&& retry(this.answer.isStreaming() ? RetryReason.STREAM_CUT : failure.retryReason());
+		boolean cut = this.answer.isStreaming() && !failure.provesNotRun();
+		boolean again = mayRepeat() && retry(cut ? RetryReason.STREAM_CUT : failure.retryReason());
 		this.journal.attemptFailed(ended, failure, detail, again ? "tried again" : "given up");
 		if (!again) {
 			fail(failure.errorKind(), detail);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/RetryRule.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/RetryRule.java
@@ -12,9 +12,11 @@
 
 /**
  * Decides on further attempts. A preempted request always gets another one. One that an
- * upstream refused unexecuted, because it is full, waits for room again, a bounded number
- * of times. Every other attempt after the first is paid from the retry budget. Not
- * thread-safe: the controller's lock guards it.
+ * upstream refused unexecuted, because it is full, waits for room again: a bounded number
+ * of times before its answer began, and until its caller leaves afterwards, because part
+ * of an answer is of no use and another request cannot replace it. Every other attempt
+ * after the first is paid from the retry budget. Not thread-safe: the controller's lock
+ * guards it.
  */
 final class RetryRule {
 
@@ -62,7 +64,7 @@
 	}
 
 	private static RetryDecision decideAfterRefusal(PolicyTicket ticket, long nowNanos) {
-		if (ticket.refusals() >= MAXIMUM_REFUSALS) {
+		if (!ticket.isAnsweredInPart() && ticket.refusals() >= MAXIMUM_REFUSALS) {
 			return RetryDecision.ATTEMPTS_EXHAUSTED;
 		}
 		if (!ticket.pool().hasLive(nowNanos)) {
