--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayFixture.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.test.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -12,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.cyclamenstall.catalogue.Catalogue;
@@ -69,6 +71,8 @@
 
 	final CallerServer server;
 
+	final PrometheusRegistry metrics = new PrometheusRegistry();
+
 	String key = KEY;
 
 	GatewayFixture(List<ScriptedUpstream> upstreams, List<ListedHost> unreachable) {
@@ -78,7 +82,7 @@
 		DaemonSettings settings = new CheckedYamlReader(ErrorKind.SETTINGS_INVALID).read(SETTINGS, "test",
 				DaemonSettings.class);
 		this.server = this.closer.register(new CallerServer(settings, 1, new FixedCatalogue(), this.controller,
-				new RefusingClaims(), MonotonicClock.SYSTEM, new PrometheusRegistry()));
+				new RefusingClaims(), MonotonicClock.SYSTEM, this.metrics));
 		this.server.start();
 	}
 
@@ -136,6 +140,12 @@
 		}
 	}
 
+	String scrape() throws IOException {
+		ByteArrayOutputStream page = new ByteArrayOutputStream();
+		PrometheusTextFormatWriter.create().write(page, this.metrics.scrape());
+		return page.toString(StandardCharsets.UTF_8);
+	}
+
 	String chat(String body) throws IOException {
 		return call("POST", "/v1/chat/completions", body);
 	}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
@@ -144,6 +144,9 @@
 				assertThat(answer, endsWith("0\r\n\r\n"));
 				assertThat(second.requests().get(0), containsString("X-Resume-Tokens: 2"));
 				assertThat(gateway.controller.retries(), contains(RetryReason.STREAM_CUT));
+				assertThat(gateway.scrape(), containsString("cyclamenstall_resumes_total{reason=\"stream-cut\"} 1.0"));
+				assertThat(gateway.scrape(),
+						containsString("cyclamenstall_answer_seconds_count{class=\"interactive\"} 1"));
 			}
 		}
 
@@ -166,6 +169,8 @@
 				assertThat(answer, containsString("\"outcome\":\"unknown\""));
 				assertThat(answer, not(containsString("[DONE]")));
 				assertThat(answer, not(endsWith("0\r\n\r\n")));
+				assertThat(gateway.scrape(),
+						containsString("cyclamenstall_cuts_total{kind=\"upstream-connection-lost\"} 1.0"));
 			}
 		}
 
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
@@ -11,7 +11,7 @@
 import org.cyclamenstall.catalogue.CatalogueEntry;
 import org.cyclamenstall.catalogue.EntryKind;
 import org.cyclamenstall.catalogue.Tier;
-import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.events.Event;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
 import org.cyclamenstall.hosts.HostState;
@@ -39,6 +39,8 @@
 
 	final ManualClock clock;
 
+	final List<Event> events = new ArrayList<>();
+
 	final PlacementTrafficController controller;
 
 	private int requests;
@@ -54,7 +56,7 @@
 					"domain-" + number % 4, HostState.LIVE, 128, 1));
 		}
 		this.controller = new PlacementTrafficController(new PlacementSettings(10_000, 0.16, 4), new Hosts(),
-				failureDomain, clock, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), EventLog.NONE,
+				failureDomain, clock, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.events::add,
 				new PrometheusRegistry());
 		this.controller.start();
 	}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.events.Event;
 import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.internal.policy.placement.PlacementTrafficController;
 import org.cyclamenstall.policy.AttemptResult;
@@ -19,6 +20,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.both;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
@@ -217,6 +219,17 @@
 			assertThat(fixture.lookup().upstream(), equalTo("engine-0"));
 		}
 
+		@Test
+		void theEventsTellThatItIsPausedAndTrustedAgain() {
+			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
+			fixture.lookup().grant.ended(AttemptResult.UNREACHABLE);
+			fixture.clock.advance(Duration.ofSeconds(1));
+			fixture.lookup().grant.ended(AttemptResult.COMPLETED);
+			fixture.lookup().grant.ended(AttemptResult.COMPLETED);
+			assertThat(fixture.events.stream().map(Event::type).filter((type) -> type.startsWith("upstream-")).toList(),
+					contains("upstream-paused", "upstream-trusted"));
+		}
+
 		@Test
 		void aLeavingOneGetsNoFirstAndNoFurtherAttempt() {
 			PlacementFixture fixture = new PlacementFixture(2, DOMAIN, 1);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayMetrics.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayMetrics.java
@@ -10,6 +10,7 @@
 import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.Outcome;
+import org.cyclamenstall.policy.RetryReason;
 
 /**
  * Counts requests, answers and refusals at the callers' port. Thread-safe.
@@ -30,6 +31,12 @@
 
 	private final Histogram tokenGap;
 
+	private final Histogram whole;
+
+	private final Counter resumes;
+
+	private final Counter cuts;
+
 	private final AtomicInteger openRequests = new AtomicInteger();
 
 	GatewayMetrics(PrometheusRegistry registry) {
@@ -57,6 +64,19 @@
 				2.5, 5, 10, 30);
 		this.tokenGap = histogram(registry, "cyclamenstall_token_gap_seconds", "Time between two tokens, by class.",
 				0.001, 0.005, 0.01, 0.02, 0.045, 0.1, 0.25, 0.5, 1, 5);
+		this.whole = histogram(registry, "cyclamenstall_answer_seconds",
+				"Time from the request to the end of its answer, by class.", 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
+				15, 30, 60);
+		this.resumes = Counter.builder()
+			.name("cyclamenstall_resumes_total")
+			.help("Begun streams that were sent again, by reason.")
+			.labelNames("reason")
+			.register(registry);
+		this.cuts = Counter.builder()
+			.name("cyclamenstall_cuts_total")
+			.help("Begun answers that ended before their end, by error kind.")
+			.labelNames("kind")
+			.register(registry);
 		GaugeWithCallback.builder()
 			.name("cyclamenstall_open_requests")
 			.help("Requests that are received and not yet answered.")
@@ -76,8 +96,17 @@
 		return this.openRequests.get();
 	}
 
-	void answered(Tier tier, String entry) {
+	void answered(Tier tier, String entry, long nanos) {
 		this.answers.labelValues(tier.label(), entry).inc();
+		this.whole.labelValues(tier.label()).observe(nanos / NANOS_PER_SECOND);
+	}
+
+	void resumed(RetryReason reason) {
+		this.resumes.labelValues(reason.label()).inc();
+	}
+
+	void cut(ErrorKind kind) {
+		this.cuts.labelValues(kind.code()).inc();
 	}
 
 	void failed(ErrorKind kind, Outcome outcome) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestJournal.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestJournal.java
@@ -7,9 +7,11 @@
 import org.cyclamenstall.internal.upstream.AttemptFailure;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.RequestFacts;
+import org.cyclamenstall.policy.RetryReason;
 
 /**
- * Tells the events of one request. Used on the I/O thread of the exchange.
+ * Tells the events of one request and counts them. Used on the I/O thread of the
+ * exchange.
  */
 final class RequestJournal {
 
@@ -44,7 +46,11 @@
 		attemptFailed(attempt, AttemptFailure.FAILED, "the upstream answered " + status, next);
 	}
 
-	void failed(ErrorReport report) {
+	void failed(ErrorReport report, boolean begun) {
+		this.services.metrics().failed(report.kind(), report.outcome());
+		if (begun) {
+			this.services.metrics().cut(report.kind());
+		}
 		Duration retryAfter = report.retryAfter();
 		this.services.events()
 			.record(new Event.RequestFailed(this.facts.requestId(), report.kind().code(), report.outcome().label(),
@@ -52,13 +58,21 @@
 					sinceArrivalMillis()));
 	}
 
+	void resumed(RetryReason reason) {
+		this.services.metrics().resumed(reason);
+	}
+
 	void answered(String upstream, int status, RelayProgress progress) {
+		this.services.metrics()
+			.answered(this.facts.tier(), this.facts.entry().name(),
+					this.services.clock().nanoTime() - this.facts.arrivalNanos());
 		this.services.events()
 			.record(new Event.RequestAnswered(this.facts.requestId(), this.facts.entry().name(), upstream, status,
 					this.attempts, progress.firstMillis(), progress.longestPauseMillis(), sinceArrivalMillis()));
 	}
 
 	void callerLeft(boolean goesOn) {
+		this.services.metrics().callerLeft();
 		this.services.events().record(new Event.CallerLeft(this.facts.requestId(), sinceArrivalMillis(), goesOn));
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestRun.java
@@ -169,7 +169,7 @@
 		String upstream = run.grant().upstream().host();
 		run.end(AttemptResult.COMPLETED);
 		if (this.answer.isStreaming() && !hasEnded()) {
-			answered();
+			conclude(AttemptResult.CANCELLED);
 			this.journal.answered(upstream, STATUS_OK, this.progress);
 			this.answer.finishStream();
 		}
@@ -283,7 +283,6 @@
 		if (hasEnded()) {
 			return;
 		}
-		this.services.metrics().callerLeft();
 		boolean goesOn = !facts().idempotent() && !facts().streamed() && this.lifecycle.state() == RequestState.SENDING;
 		this.journal.callerLeft(goesOn);
 		if (!goesOn) {
@@ -377,7 +376,10 @@
 			this.outstanding.remove(next);
 			return false;
 		}
-		if (!this.answer.isStreaming()) {
+		if (this.answer.isStreaming()) {
+			this.journal.resumed(reason);
+		}
+		else {
 			this.lifecycle.moveTo(RequestState.QUEUED);
 		}
 		return true;
@@ -404,8 +406,7 @@
 		boolean certain = this.claim.giveUp(this.mayHaveRun);
 		ErrorReport report = certain ? ErrorReport.of(refusal)
 				: ErrorReport.uncertain(refusal, this.mayHaveRun ? this.unprovenFailure : null);
-		this.services.metrics().failed(report.kind(), report.outcome());
-		this.journal.failed(report);
+		this.journal.failed(report, this.answer.isStreaming());
 		if (!this.callerLeft) {
 			this.answer.error(report);
 		}
@@ -415,18 +416,13 @@
 		if (hasEnded()) {
 			return;
 		}
-		answered();
+		conclude(AttemptResult.CANCELLED);
 		this.journal.answered((upstream != null) ? upstream : "", whole.status(), this.progress);
 		if (!this.callerLeft) {
 			this.answer.whole(upstream, whole);
 		}
 	}
 
-	private void answered() {
-		conclude(AttemptResult.CANCELLED);
-		this.services.metrics().answered(facts().tier(), facts().entry().name());
-	}
-
 	private void conclude(AttemptResult result) {
 		this.mayHaveRun |= this.outstanding.isAnySending();
 		this.lifecycle.end();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -189,8 +189,12 @@
 		PlacedUpstream upstream = grant.placed();
 		upstream.ended(grant);
 		boolean paused = upstream.trust().isPaused(nowNanos);
+		boolean distrusted = paused || upstream.trust().isOnTrial(nowNanos);
 		judge(upstream, result, nowNanos);
-		if (!paused && upstream.trust().isPaused(nowNanos)) {
+		if (distrusted && result == AttemptResult.COMPLETED) {
+			this.events.record(new Event.UpstreamTrusted(upstream.host().host()));
+		}
+		else if (!paused && upstream.trust().isPaused(nowNanos)) {
 			this.events.record(new Event.UpstreamPaused(upstream.host().host(), result.name(),
 					upstream.trust().failureShare(nowNanos), upstream.trust().restOfPauseMillis(nowNanos)));
 		}
