Rank requests by their account and then by their route

So marker tags were preempted while digests ran on. Ruled out: a wrong header (the worker got what the daemon believed), retries with another rank. Change: RequestRank joins both; the class of a request in the metrics is that of its route. Before: RequestRankTests and WholePathTests#anEngineLearnsTheRankOfTheAccountAndThenOfTheRoute have no such rank (1 instead of 5). After: both pass.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
@@ -24,7 +24,7 @@
 	 * @param request the request identifier
 	 * @param route the route or catalogue entry
 	 * @param account the client account
-	 * @param priority the rank, where 0 is the highest
+	 * @param priority the rank, where 0 is the highest: the account's, then the route's
 	 * @param attempt the number of the attempt
 	 * @param reason why it is made: {@code first}, or why the one before failed
 	 * @param upstream the chosen upstream
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
@@ -18,6 +18,7 @@
 import org.cyclamenstall.policy.RequestFacts;
 import org.cyclamenstall.policy.RequestTerms;
 import org.cyclamenstall.routes.EngineShape;
+import org.cyclamenstall.routes.RequestRank;
 import org.cyclamenstall.routes.Route;
 import org.cyclamenstall.routes.RouteAccount;
 import org.cyclamenstall.routes.RouteTable;
@@ -172,25 +173,26 @@
 		@Override
 		public CallerRequest withBody(byte[] body) {
 			RouteTerms terms = this.route.terms();
-			int priority = priority(terms);
+			int rank = RequestRank.of((this.account != null) ? this.account.priority() : null, terms.priority());
 			Duration answerWithin = answerWithin(terms);
 			String service = terms.serviceFor(RoutedCallerProtocol.this.random.nextDouble());
-			RequestTerms requestTerms = new RequestTerms(service, priority, terms.attempts(), terms.objective(),
+			RequestTerms requestTerms = new RequestTerms(service, rank, terms.attempts(), terms.objective(),
 					terms.pauseObjective(), answerWithin, terms.resumable(), tokensPerEvent(service),
 					this.head.prompt());
 			CatalogueEntry accountEntry = (this.account != null) ? this.account.entry() : NO_ACCOUNT;
-			RequestFacts facts = new RequestFacts(this.requestId, this.route.entry(), accountEntry, tier(priority),
-					this.arrivalNanos, terms.idempotent(), terms.streamed(), null, requestTerms);
-			return new CallerRequest(facts, upstreamRequest(terms, priority, answerWithin, body), null);
+			RequestFacts facts = new RequestFacts(this.requestId, this.route.entry(), accountEntry,
+					this.route.entry().tier(), this.arrivalNanos, terms.idempotent(), terms.streamed(), null,
+					requestTerms);
+			return new CallerRequest(facts, upstreamRequest(terms, rank, answerWithin, body), null);
 		}
 
-		private UpstreamRequest upstreamRequest(RouteTerms terms, int priority, Duration answerWithin, byte[] body) {
+		private UpstreamRequest upstreamRequest(RouteTerms terms, int rank, Duration answerWithin, byte[] body) {
 			HttpString method = this.exchange.getRequestMethod();
 			String query = this.exchange.getQueryString();
 			String target = query.isEmpty() ? this.head.path() : this.head.path() + "?" + query;
 			String accountName = (this.account != null) ? this.account.entry().name() : null;
 			return new UpstreamRequest(RoutedCallerProtocol.this.upstreams, method, target,
-					RoutedCallerProtocol.this.codec.upstreamHeaders(this.exchange, accountName, priority), body,
+					RoutedCallerProtocol.this.codec.upstreamHeaders(this.exchange, accountName, rank), body,
 					terms.streamed(), terms.idempotent() ? UpstreamConnections.MAXIMUM_IDLE : SAFE_IDLE, true,
 					this.arrivalNanos + answerWithin.toNanos(),
 					RoutedCallerProtocol.this.times.of(terms, answerWithin));
@@ -202,20 +204,11 @@
 			return (engine != null) ? engine.tokensPerEvent() : 1;
 		}
 
-		private int priority(RouteTerms terms) {
-			Integer own = (this.account != null) ? this.account.priority() : null;
-			return (own != null) ? own : terms.priority();
-		}
-
 		private Duration answerWithin(RouteTerms terms) {
 			Duration left = this.head.timeLeft();
 			return (left != null && left.compareTo(terms.timeout()) < 0) ? left : terms.timeout();
 		}
 
-		private static Tier tier(int priority) {
-			return Tier.values()[Math.min(Math.max(0, priority), Tier.values().length - 1)];
-		}
-
 	}
 
 }
