Count unread work by rank, and give shared beginnings a second home

Change: unread work counts by rank, for the choice and for the window; a short prompt without need of quiet pays 20,000 instead of 6,000 tokens for a quiet engine; shared beginnings have two homes that all daemons agree on; unread work and patience weigh less for longer objectives; the pace of an engine holds back long prompts only. Tests: the three new ones of PlacementTests fail before and pass after. higherRanksAreServedFirst filled the engine with less urgent work and expected an urgent request to wait for it; it fills it with the most urgent now, and lessUrgentWorkAtTheEngineHoldsNobodyBack checks the case that it had before.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
@@ -81,6 +81,11 @@
 				false, new PromptShape(tokens, 1_000, 380, parts)));
 	}
 
+	PlacedRequest summary() {
+		return submit(stream("summary", 1, Duration.ofMillis(400), Duration.ofMillis(400), Duration.ofSeconds(3), false,
+				new PromptShape(2_400, 60, 25, List.of(new PromptPart("s" + this.requests, 2_400)))));
+	}
+
 	PlacedRequest booking() {
 		return submit(facts("booking", 2, null, Duration.ofMillis(300), Duration.ofMillis(800), false, false,
 				PromptShape.NONE));
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
@@ -60,6 +60,18 @@
 			assertThat(withChats, everyItem(not(in(withPlans))));
 		}
 
+		@Test
+		void shortPromptsThatNeedNoQuietStayBesideThem() {
+			PlacementFixture fixture = new PlacementFixture(6, DOMAIN, 1);
+			Set<String> withChats = new HashSet<>();
+			for (int number = 0; number < 10; number++) {
+				withChats.add(fixture.chat().upstream());
+			}
+			for (int number = 0; number < 20; number++) {
+				assertThat(fixture.summary().upstream(), not(in(withChats)));
+			}
+		}
+
 		@Test
 		void theyUseTheOnlyEngineThereIs() {
 			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
@@ -82,6 +94,21 @@
 			assertThat(new HashSet<>(chosen), hasSize(1));
 		}
 
+		@Test
+		void allDaemonsTurnToTheSameEngineWhenItsHomeIsFull() {
+			Set<String> chosen = new HashSet<>();
+			for (int daemon = 0; daemon < 5; daemon++) {
+				PlacementFixture fixture = new PlacementFixture(8, "domain-" + daemon % 4, daemon);
+				String home = fixture.plan(2, 12_000, "session-7").upstream();
+				String next = home;
+				while (next.equals(home)) {
+					next = fixture.plan(2, 12_000, "session-7").upstream();
+				}
+				chosen.add(next);
+			}
+			assertThat(chosen, hasSize(1));
+		}
+
 		@Test
 		void anotherEngineServesItWhenItsHomeIsGone() {
 			PlacementFixture fixture = new PlacementFixture(8, DOMAIN, 1);
@@ -98,7 +125,7 @@
 		@Test
 		void higherRanksAreServedFirst() {
 			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
-			List<PlacedRequest> running = fill(fixture);
+			List<PlacedRequest> running = fill(fixture, 0);
 			PlacedRequest low = fixture.plan(2, 12_000, "low");
 			PlacedRequest high = fixture.plan(0, 12_000, "high");
 			assertThat(low.waits() && high.waits(), is(true));
@@ -107,10 +134,18 @@
 			assertThat(low.waits(), is(true));
 		}
 
+		@Test
+		void lessUrgentWorkAtTheEngineHoldsNobodyBack() {
+			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
+			fill(fixture, 1);
+			assertThat(fixture.plan(1, 12_000, "alike").waits(), is(true));
+			assertThat(fixture.plan(0, 12_000, "urgent").waits(), is(false));
+		}
+
 		@Test
 		void whatCanStillBeOnTimeGoesBeforeWhatCannot() {
 			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
-			List<PlacedRequest> running = fill(fixture);
+			List<PlacedRequest> running = fill(fixture, 1);
 			PlacedRequest late = fixture.plan(2, 12_000, "late");
 			fixture.clock.advance(Duration.ofMillis(2_000));
 			PlacedRequest fresh = fixture.plan(2, 12_000, "fresh");
@@ -123,7 +158,7 @@
 		@Test
 		void whatCannotBeAnsweredIsRefusedWithATimeToReturn() {
 			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
-			fill(fixture);
+			fill(fixture, 1);
 			PlacedRequest waiting = fixture.plan(2, 12_000, "waiting");
 			fixture.clock.advance(Duration.ofMillis(11_500));
 			fixture.controller.tick();
@@ -136,7 +171,7 @@
 		@Test
 		void aRefusedRequestIsNeverPlaced() {
 			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
-			List<PlacedRequest> running = fill(fixture);
+			List<PlacedRequest> running = fill(fixture, 1);
 			PlacedRequest waiting = fixture.plan(2, 12_000, "waiting");
 			fixture.clock.advance(Duration.ofMillis(11_500));
 			fixture.controller.tick();
@@ -148,19 +183,19 @@
 		@Test
 		void aWithdrawnRequestIsNeverPlaced() {
 			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
-			List<PlacedRequest> running = fill(fixture);
+			List<PlacedRequest> running = fill(fixture, 1);
 			PlacedRequest waiting = fixture.plan(2, 12_000, "waiting");
 			assertThat(waiting.ticket.withdraw(), is(true));
 			running.forEach((request) -> request.grant.ended(AttemptResult.COMPLETED));
 			assertThat(waiting.waits(), is(true));
 		}
 
-		private List<PlacedRequest> fill(PlacementFixture fixture) {
+		private List<PlacedRequest> fill(PlacementFixture fixture, int priority) {
 			List<PlacedRequest> running = new ArrayList<>();
-			PlacedRequest next = fixture.plan(1, 12_000, "fill-0");
+			PlacedRequest next = fixture.plan(priority, 12_000, "fill-0");
 			while (!next.waits()) {
 				running.add(next);
-				next = fixture.plan(1, 12_000, "fill-" + running.size());
+				next = fixture.plan(priority, 12_000, "fill-" + running.size());
 			}
 			assertThat(next.ticket.withdraw(), is(true));
 			return running;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
@@ -1,10 +1,10 @@
 package org.cyclamenstall.internal.policy.placement;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.function.Predicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
-import org.cyclamenstall.policy.PromptPart;
 import org.cyclamenstall.policy.RequestFacts;
 import org.jspecify.annotations.Nullable;
 
@@ -20,9 +20,6 @@
 	/** What one running request of an engine costs the next one. */
 	private static final double TOKENS_PER_RUNNING = 60;
 
-	/** The expected part of a shared beginning that is cached at its home. */
-	private static final double HOME_CACHED = 0.8;
-
 	/** What it costs a short request or one to a plain service to leave the domain. */
 	private static final double TOKENS_PER_CROSSING = 1_500;
 
@@ -30,7 +27,7 @@
 	private static final double TOKENS_OF_INTRUSION = 300_000;
 
 	/** What a short prompt that needs no quiet costs on a quiet engine. */
-	private static final double TOKENS_OF_DISTURBANCE = 6_000;
+	private static final double TOKENS_OF_DISTURBANCE = 20_000;
 
 	/** What a request that needs quiet costs on any other engine. */
 	private static final double TOKENS_OF_EXPOSURE = 12_000;
@@ -38,6 +35,9 @@
 	/** How much more unread there is than this daemon knows of. */
 	private static final double UNSEEN_FACTOR = 2;
 
+	/** The objective up to which all unread work before a request counts in full. */
+	private static final double URGENT_NANOS = 300e6;
+
 	/** How much worse than the best a choice may be rather than to wait for the best. */
 	private static final double TOKENS_OF_PATIENCE = 15_000;
 
@@ -60,39 +60,42 @@
 	@Override
 	public @Nullable PlacedUpstream choose(List<PlacedUpstream> upstreams, Predicate<PlacedUpstream> hasRoom,
 			EngineDivision division, RequestFacts facts, long nowNanos) {
-		PlacedUpstream home = home(upstreams, division, facts);
+		SharedHomes homes = SharedHomes.of(upstreams, division, facts);
 		PlacedUpstream best = null;
 		double bestCost = Double.MAX_VALUE;
 		double leastCost = Double.MAX_VALUE;
 		for (PlacedUpstream candidate : upstreams) {
-			double cost = cost(candidate, division, facts, candidate == home, nowNanos);
+			double cost = cost(candidate, division, facts, homes, nowNanos);
 			leastCost = Math.min(leastCost, cost);
 			if (cost < bestCost && hasRoom.test(candidate)) {
 				best = candidate;
 				bestCost = cost;
 			}
 		}
-		return (bestCost <= leastCost + TOKENS_OF_PATIENCE) ? best : null;
+		return (bestCost <= leastCost + TOKENS_OF_PATIENCE * urgency(facts)) ? best : null;
 	}
 
-	private double cost(PlacedUpstream candidate, EngineDivision division, RequestFacts facts, boolean home,
+	private double cost(PlacedUpstream candidate, EngineDivision division, RequestFacts facts, SharedHomes homes,
 			long nowNanos) {
-		double work = (facts.promptTokens() > 0) ? engineWork(candidate, division, facts, home) : plainWork(candidate);
+		double work = (facts.promptTokens() > 0) ? engineWork(candidate, division, facts, homes) : plainWork(candidate);
 		return work * candidate.slowness().factor(nowNanos) + distrust(candidate, nowNanos)
 				+ this.random.nextDouble() * TOKENS_OF_CHANCE;
 	}
 
-	private double engineWork(PlacedUpstream upstream, EngineDivision division, RequestFacts facts, boolean home) {
-		double uncached = upstream.uncachedTokens(facts.terms().prompt());
-		if (home) {
-			int shared = sharedTokens(facts.terms().prompt().sharedParts());
-			uncached = Math.min(uncached, facts.promptTokens() - shared * HOME_CACHED);
-		}
-		double work = uncached + upstream.unreadWork() * UNSEEN_FACTOR + upstream.inFlight() * TOKENS_PER_RUNNING;
+	private double engineWork(PlacedUpstream upstream, EngineDivision division, RequestFacts facts, SharedHomes homes) {
+		double uncached = Math.min(upstream.uncachedTokens(facts.terms().prompt()),
+				facts.promptTokens() - homes.cachedTokens(upstream));
+		double work = uncached + upstream.unreadBefore(facts) * UNSEEN_FACTOR * urgency(facts)
+				+ upstream.inFlight() * TOKENS_PER_RUNNING;
 		work += misfit(upstream, division, facts);
 		return EngineDivision.isLong(facts) ? work : work + crossing(upstream);
 	}
 
+	private static double urgency(RequestFacts facts) {
+		Duration objective = facts.terms().objective();
+		return (objective != null) ? Math.min(1, URGENT_NANOS / objective.toNanos()) : 1;
+	}
+
 	private static double misfit(PlacedUpstream upstream, EngineDivision division, RequestFacts facts) {
 		boolean needsQuiet = EngineDivision.needsQuiet(facts);
 		if (needsQuiet == division.isQuiet(upstream)) {
@@ -117,30 +120,4 @@
 				+ (upstream.isSilent(nowNanos) ? TOKENS_OF_SILENCE : 0);
 	}
 
-	// Finds the home of a shared beginning by rendezvous hashing among the engines that
-	// are meant for the request.
-	private static @Nullable PlacedUpstream home(List<PlacedUpstream> upstreams, EngineDivision division,
-			RequestFacts facts) {
-		List<PromptPart> shared = facts.terms().prompt().sharedParts();
-		if (shared.isEmpty()) {
-			return null;
-		}
-		String part = shared.get(shared.size() - 1).id();
-		PlacedUpstream home = null;
-		long best = Long.MIN_VALUE;
-		for (PlacedUpstream candidate : upstreams) {
-			long score = Rendezvous.score(part, candidate.host().host());
-			boolean fits = division.isQuiet(candidate) == EngineDivision.needsQuiet(facts);
-			if (fits && (home == null || score > best)) {
-				home = candidate;
-				best = score;
-			}
-		}
-		return home;
-	}
-
-	private static int sharedTokens(List<PromptPart> shared) {
-		return shared.stream().mapToInt(PromptPart::tokens).sum();
-	}
-
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
@@ -6,6 +6,8 @@
 import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.policy.PromptShape;
+import org.cyclamenstall.policy.RequestFacts;
+import org.cyclamenstall.routes.RequestRank;
 
 /**
  * Holds what this daemon knows of one upstream. Not thread-safe: the controller's lock
@@ -30,7 +32,7 @@
 
 	private final EventPace pace = new EventPace();
 
-	private double unreadWork;
+	private final double[] unreadByRank = new double[RequestRank.LAST + 1];
 
 	private long heardAtNanos;
 
@@ -69,11 +71,23 @@
 	}
 
 	/**
-	 * Returns the work that this daemon sent and that has no first event yet.
+	 * Returns the work that this daemon sent, that has no first event yet and that goes
+	 * before a request: an engine reads the more urgent prompts first, any other upstream
+	 * takes its requests in the order of their arrival.
+	 * @param facts the request
 	 * @return the work in prompt tokens
 	 */
-	double unreadWork() {
-		return this.unreadWork;
+	double unreadBefore(RequestFacts facts) {
+		int last = (facts.promptTokens() > 0) ? rank(facts) : RequestRank.LAST;
+		double before = 0;
+		for (int rank = 0; rank <= last; rank++) {
+			before += this.unreadByRank[rank];
+		}
+		return before;
+	}
+
+	private static int rank(RequestFacts facts) {
+		return Math.min(RequestRank.LAST, Math.max(0, facts.terms().priority()));
 	}
 
 	LoadWindow window() {
@@ -87,7 +101,8 @@
 	 * @return {@code true} if it may be sent now
 	 */
 	boolean hasRoom(PlacementTicket ticket, long nowNanos) {
-		return this.window.fits(this.unreadWork, work(ticket)) && !this.pace.isStrained(nowNanos);
+		return this.window.fits(unreadBefore(ticket.facts()), work(ticket))
+				&& !(EngineDivision.isLong(ticket.facts()) && this.pace.isStrained(nowNanos));
 	}
 
 	EventPace pace() {
@@ -126,7 +141,7 @@
 			this.heardAtNanos = grant.startedAtNanos();
 		}
 		this.running.add(grant);
-		this.unreadWork += grant.unreadWork();
+		this.unreadByRank[rank(grant.facts())] += grant.unreadWork();
 		this.cache.read(grant.facts().terms().prompt().parts());
 	}
 
@@ -135,7 +150,7 @@
 	}
 
 	void read(PlacementGrant grant) {
-		this.unreadWork -= grant.takeUnreadWork();
+		this.unreadByRank[rank(grant.facts())] -= grant.takeUnreadWork();
 	}
 
 	void ended(PlacementGrant grant) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -272,8 +272,9 @@
 		PlacedUpstream upstream = grant.placed();
 		return new Event.RequestPlaced(facts.requestId(), facts.entry().name(), facts.account().name(),
 				facts.terms().priority(), grant.attempt(), reason, upstream.host().host(), facts.promptTokens(),
-				upstream.uncachedTokens(facts.terms().prompt()), Math.round(upstream.unreadWork()), upstream.inFlight(),
-				poolOf(grant.ticket()).size(), TimeUnit.NANOSECONDS.toMillis(nowNanos - facts.arrivalNanos()));
+				upstream.uncachedTokens(facts.terms().prompt()), Math.round(upstream.unreadBefore(facts)),
+				upstream.inFlight(), poolOf(grant.ticket()).size(),
+				TimeUnit.NANOSECONDS.toMillis(nowNanos - facts.arrivalNanos()));
 	}
 
 	void firstToken(PlacementGrant grant) {
