Gather changes of the store before it is asked again

Ruled out: heartbeats (the store tells only of entries that change in more than their count). Change: FollowPace waits 150 to 300 ms after changes, far inside the 2 s in which a change has to be in force; it also holds the pauses after failures, which were in the follower's loop. A step has a typed result. Before: FollowPaceTests#theyAreGathered has no such pause to test. After: FollowPaceTests, StoreFollowerTests, FollowedHostListTests and WholePathTests pass (35 tests, one run).

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/StoreFollower.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/follower/StoreFollower.java
@@ -35,10 +35,6 @@
 
 	private static final Duration LIST_TIMEOUT = Duration.ofMillis(1_500);
 
-	private static final long LEAST_PAUSE_MILLIS = 60;
-
-	private static final long LONGEST_PAUSE_MILLIS = 250;
-
 	private final List<StoreListener> listeners = new CopyOnWriteArrayList<>();
 
 	private final WatchedStore store;
@@ -47,7 +43,7 @@
 
 	private final Freshness freshness;
 
-	private final UniformRandomProvider random;
+	private final FollowPace pace;
 
 	private final EventLog events;
 
@@ -76,7 +72,7 @@
 		this.store = store;
 		this.prefix = prefix;
 		this.freshness = freshness;
-		this.random = random;
+		this.pace = new FollowPace(random);
 		this.events = events;
 	}
 
@@ -105,41 +101,32 @@
 	}
 
 	private void run() {
-		long pauseMillis = LEAST_PAUSE_MILLIS;
 		while (!this.closed) {
-			if (step()) {
-				pauseMillis = LEAST_PAUSE_MILLIS;
-			}
-			else {
-				pause(pauseMillis);
-				pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
-			}
+			pause(this.pace.pauseMillis(step()));
 		}
 	}
 
 	/**
 	 * Asks the store once.
-	 * @return whether it answered
+	 * @return what came of it
 	 */
-	public boolean step() {
+	public FollowStep step() {
 		long sentAtNanos = this.freshness.nowNanos();
 		try {
-			if (this.listed) {
-				takeChanges(sentAtNanos);
-			}
-			else {
+			if (!this.listed) {
 				takeListing(sentAtNanos);
+				return FollowStep.UNCHANGED;
 			}
-			return true;
+			return takeChanges(sentAtNanos) ? FollowStep.CHANGED : FollowStep.UNCHANGED;
 		}
 		catch (RouterException ex) {
 			failed(ex);
-			return ex.kind() == ErrorKind.STORE_HISTORY_LOST;
+			return (ex.kind() == ErrorKind.STORE_HISTORY_LOST) ? FollowStep.UNCHANGED : FollowStep.FAILED;
 		}
 		catch (RuntimeException ex) {
 			logger.error("The follower of the store failed", ex);
 			this.listed = false;
-			return false;
+			return FollowStep.FAILED;
 		}
 		finally {
 			this.listeners.forEach(StoreListener::settled);
@@ -155,7 +142,7 @@
 		this.freshness.confirmed(sentAtNanos);
 	}
 
-	private void takeChanges(long sentAtNanos) {
+	private boolean takeChanges(long sentAtNanos) {
 		Duration wait = this.lost ? Duration.ZERO : WAIT;
 		StoreChanges changes = this.store.changesAfter(this.prefix, this.index, wait, wait.plus(TIMEOUT_BEYOND_WAIT));
 		answered();
@@ -164,6 +151,7 @@
 		}
 		this.index = Math.max(this.index, changes.index());
 		this.freshness.confirmed(sentAtNanos);
+		return !changes.changes().isEmpty();
 	}
 
 	private void answered() {
@@ -191,7 +179,7 @@
 
 	private void pause(long millis) {
 		try {
-			Thread.sleep(millis + this.random.nextLong(millis));
+			Thread.sleep(millis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
