--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTrafficController.java
@@ -50,14 +50,10 @@
 
 	private final Outbox outbox = new Outbox();
 
-	private final TimedRequests deadlines = new TimedRequests();
-
-	private final TimedRequests delayed = new TimedRequests();
+	private final WaitingTimers timers = new WaitingTimers();
 
 	private final PeerDemand peers = new PeerDemand();
 
-	private final OutputEstimate estimate = new OutputEstimate();
-
 	private final PolicySet policies;
 
 	private final MonotonicClock clock;
@@ -66,6 +62,8 @@
 
 	private final LimitBook limits;
 
+	private final LimitSettlement settlement;
+
 	private final Admission admission;
 
 	private final Dispatcher dispatcher;
@@ -88,7 +86,9 @@
 		LimitShare share = policies.newLimitShare();
 		this.pools = new PoolRegistry(policies, share, this.peers);
 		this.limits = new LimitBook(share, this.peers);
-		this.admission = new Admission(this.limits, this.estimate, policies.settings().queueLength());
+		OutputEstimate estimate = new OutputEstimate();
+		this.settlement = new LimitSettlement(this.limits, estimate);
+		this.admission = new Admission(this.limits, estimate, policies.settings().queueLength());
 		this.recorder = new DecisionRecorder(metrics, log);
 		this.dispatcher = new Dispatcher(this, policies, this.recorder, this.outbox);
 		this.retryRule = new RetryRule(policies.settings(), policies.random());
@@ -127,8 +127,8 @@
 	 */
 	public void tick(long nowNanos) {
 		decide(() -> {
-			resumeDelayed(nowNanos);
-			expire(nowNanos);
+			this.timers.due(nowNanos, (ticket) -> ticket.pool().queue().addFirst(ticket),
+					(ticket) -> refuseWaiting(ticket, ErrorKind.DEADLINE_EXCEEDED, nowNanos));
 			boolean refresh = nowNanos - this.refreshedAtNanos >= REFRESH_NANOS;
 			if (refresh) {
 				this.refreshedAtNanos = nowNanos;
@@ -149,22 +149,6 @@
 		}
 	}
 
-	private void resumeDelayed(long nowNanos) {
-		PolicyTicket ticket = this.delayed.pollDue(nowNanos);
-		while (ticket != null) {
-			ticket.pool().queue().addFirst(ticket);
-			ticket = this.delayed.pollDue(nowNanos);
-		}
-	}
-
-	private void expire(long nowNanos) {
-		PolicyTicket ticket = this.deadlines.pollDue(nowNanos);
-		while (ticket != null) {
-			refuseWaiting(ticket, ErrorKind.DEADLINE_EXCEEDED, nowNanos);
-			ticket = this.deadlines.pollDue(nowNanos);
-		}
-	}
-
 	@Override
 	public Ticket submit(RequestFacts facts, GrantListener listener) {
 		PolicyTicket ticket = new PolicyTicket(this, facts);
@@ -212,9 +196,7 @@
 		}
 		pool.queue().add(ticket);
 		pool.demandChanged(nowNanos);
-		if (ticket.hasDeadline()) {
-			this.deadlines.put(ticket, ticket.deadlineNanos());
-		}
+		this.timers.expireAtDeadline(ticket);
 		this.dispatcher.dispatch(pool, nowNanos);
 		if (ticket.isWaiting()) {
 			this.recorder.queued(ticket, nowNanos);
@@ -236,8 +218,7 @@
 	}
 
 	void stoppedWaiting(PolicyTicket ticket) {
-		this.deadlines.remove(ticket);
-		this.delayed.remove(ticket);
+		this.timers.stop(ticket);
 	}
 
 	private void refuseWaiting(PolicyTicket ticket, ErrorKind kind, long nowNanos) {
@@ -293,13 +274,11 @@
 		ticket.clearDeadline();
 		if (!ticket.isAnsweredInPart()) {
 			this.admission.setDeadline(ticket, nowNanos);
-			if (ticket.hasDeadline()) {
-				this.deadlines.put(ticket, ticket.deadlineNanos());
-			}
+			this.timers.expireAtDeadline(ticket);
 		}
 		long pauseNanos = this.retryRule.pauseNanos(ticket, reason);
 		if (pauseNanos > 0) {
-			this.delayed.put(ticket, nowNanos + pauseNanos);
+			this.timers.joinQueueAt(ticket, nowNanos + pauseNanos);
 			return;
 		}
 		ticket.pool().queue().addFirst(ticket);
@@ -350,17 +329,9 @@
 			return;
 		}
 		this.unfinished--;
-		if (!ticket.isAdmitted()) {
-			return;
-		}
-		RequestFacts facts = ticket.facts();
-		if (ticket.attempts() == 0) {
-			this.limits.cancel(facts.entry(), facts.account(), ticket.reservedTokens());
-			return;
+		if (ticket.isAdmitted()) {
+			this.settlement.ended(ticket, generatedTokens);
 		}
-		this.limits.charge(facts.entry(), facts.account(), generatedTokens - ticket.chargedTokens());
-		this.limits.release(facts.entry(), facts.account());
-		this.estimate.ended(facts, generatedTokens);
 	}
 
 	long nowNanos() {
@@ -381,12 +352,7 @@
 
 	void tokensBeyondCharge(PolicyGrant grant, long total) {
 		decide(() -> {
-			PolicyTicket ticket = grant.ticket();
-			long beyond = total - ticket.chargedTokens();
-			if (beyond > 0) {
-				this.limits.charge(ticket.facts().entry(), ticket.facts().account(), beyond);
-				ticket.chargedTokens(total);
-			}
+			this.settlement.generated(grant.ticket(), total);
 			return null;
 		});
 	}
