--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
@@ -207,7 +207,7 @@
 	class WhenStreamsWouldNotEndInTime {
 
 		@Test
-		void theEngineTakesNoMorePrompts() {
+		void theEngineTakesNoMoreLongPrompts() {
 			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
 			PlacedRequest plan = fixture.plan(2, 12_000, "slow");
 			plan.grant.firstToken();
@@ -216,6 +216,7 @@
 				plan.grant.tokens(1);
 			}
 			assertThat(fixture.plan(2, 12_000, "next").waits(), is(true));
+			assertThat(fixture.chat().waits(), is(false));
 		}
 
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EventPace.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EventPace.java
@@ -13,7 +13,7 @@
 	/** After this time without events the measured need fades. */
 	private static final double FADE_AFTER_NANOS = 1e9;
 
-	/** The part of the needed pace from which an engine takes no more prompts. */
+	/** The part of the needed pace from which an engine takes no more long prompts. */
 	private static final double STRAINED = 1.7;
 
 	private static final double LARGEST_RATIO = 3;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacedUpstream.java
@@ -95,7 +95,8 @@
 	}
 
 	/**
-	 * Returns whether a request fits into the window and the streams here do not suffer.
+	 * Returns whether a request fits into the window beside the work that goes before it,
+	 * and, if its prompt is long, whether the streams here do not suffer.
 	 * @param ticket the request
 	 * @param nowNanos the time on the monotonic clock
 	 * @return {@code true} if it may be sent now
