End the grace period of missing upstreams on time, and poll as the bounds allow

Replayed with the log of the daemon: its cut from the store ended at 24.75 s; the record of an upstream that left at 26.1 s was taken for one that expired in an outage; the grace period of 2.2 s ended at 26.95 s, but was checked only when the next long poll of 2 s ended, at 28.37 s. The bound had passed at 28.1 s. Ruled out: a watch that missed the change (it was read 0.1 s after the store's acknowledgement). Change: a listener of the watch can shorten the next poll, and the host list does so while removals are pending. A missing upstream gets no new requests during the grace period, unless more than a third of its service is missing. A daemon is ready only after its list of upstreams was read.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
@@ -14,12 +14,14 @@
 import org.cyclamenstall.internal.watch.StoreListener;
 import org.cyclamenstall.internal.watch.StoreStaleness;
 import org.cyclamenstall.internal.watch.StoreWatcher;
+import org.cyclamenstall.internal.watch.WatchTiming;
 import org.cyclamenstall.junit.ManualClock;
 import org.cyclamenstall.store.StoreChange;
 import org.cyclamenstall.store.StoreChanges;
 import org.cyclamenstall.store.StoreListing;
 import org.cyclamenstall.store.StoreRecord;
 import org.cyclamenstall.store.WatchedStore;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -34,18 +36,25 @@
 
 	private static final Duration MAXIMUM_AGE = Duration.ofSeconds(5);
 
+	private static final Duration LONG_POLL_WAIT = Duration.ofSeconds(3);
+
 	private final ManualClock clock = new ManualClock();
 
 	private final Deque<Supplier<Object>> responses = new ArrayDeque<>();
 
 	private final List<String> calls = new ArrayList<>();
 
+	private final List<Duration> waits = new ArrayList<>();
+
+	private @Nullable Duration maximumPollTime;
+
 	private final List<String> notifications = new ArrayList<>();
 
 	private final StoreStaleness staleness = new StoreStaleness(this.clock::nanoTime);
 
 	private final StoreWatcher watcher = new StoreWatcher(new ScriptedStore(), "", this.staleness,
-			RandomSource.XO_RO_SHI_RO_128_PP.create(1), EventLog.NONE);
+			new WatchTiming(LONG_POLL_WAIT, Duration.ofMillis(100)), RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+			EventLog.NONE);
 
 	StoreWatcherTests() {
 		this.watcher.addListener(new RecordingListener());
@@ -67,6 +76,10 @@
 		}
 	}
 
+	private static StoreChanges noChanges() {
+		return new StoreChanges(List.of(), 7);
+	}
+
 	private static StoreRecord record(String key, long version) {
 		return new StoreRecord(key, new byte[0], version);
 	}
@@ -99,6 +112,58 @@
 
 	}
 
+	@Nested
+	class WhileNothingChanges {
+
+		private static final Duration NOTIFICATION_DELAY = Duration.ofSeconds(1);
+
+		@Test
+		void aPollThatWaitedInFullConfirmsTheStateAtItsEnd() {
+			respondWith(() -> new StoreListing(List.of(), 7));
+			respondAfter(LONG_POLL_WAIT);
+			pollTimes(2);
+			StoreWatcherTests.this.clock.advance(MAXIMUM_AGE.minus(NOTIFICATION_DELAY).minusMillis(1));
+			assertThat(StoreWatcherTests.this.staleness.isWithin(MAXIMUM_AGE), is(true));
+			StoreWatcherTests.this.clock.advance(Duration.ofMillis(2));
+			assertThat(StoreWatcherTests.this.staleness.isWithin(MAXIMUM_AGE), is(false));
+		}
+
+		@Test
+		void aPollThatReturnsEarlyConfirmsTheStateOfItsRequest() {
+			respondWith(() -> new StoreListing(List.of(), 7));
+			respondAfter(LONG_POLL_WAIT.minusMillis(1));
+			pollTimes(2);
+			StoreWatcherTests.this.clock.advance(MAXIMUM_AGE.minus(LONG_POLL_WAIT).plusMillis(2));
+			assertThat(StoreWatcherTests.this.staleness.isWithin(MAXIMUM_AGE), is(false));
+		}
+
+		@Test
+		void aResponseThatArrivesLateConfirmsNoLaterState() {
+			respondWith(() -> new StoreListing(List.of(), 7));
+			respondAfter(LONG_POLL_WAIT.plusSeconds(2));
+			pollTimes(2);
+			StoreWatcherTests.this.clock.advance(MAXIMUM_AGE.minus(NOTIFICATION_DELAY).minusSeconds(2).plusMillis(1));
+			assertThat(StoreWatcherTests.this.staleness.isWithin(MAXIMUM_AGE), is(false));
+		}
+
+		@Test
+		void aListenerCanShortenTheNextPoll() {
+			StoreWatcherTests.this.maximumPollTime = Duration.ofMillis(200);
+			respondWith(() -> new StoreListing(List.of(), 7));
+			respondWith(StoreWatcherTests::noChanges);
+			pollTimes(2);
+			assertThat(StoreWatcherTests.this.waits, contains(Duration.ofMillis(200)));
+		}
+
+		private void respondAfter(Duration elapsed) {
+			respondWith(() -> {
+				StoreWatcherTests.this.clock.advance(elapsed);
+				return noChanges();
+			});
+		}
+
+	}
+
 	@Nested
 	class WhenTheStoreFails {
 
@@ -142,6 +207,7 @@
 		@Override
 		public StoreChanges changesAfter(String prefix, long index, Duration wait, Duration timeout) {
 			StoreWatcherTests.this.calls.add("changes after " + index);
+			StoreWatcherTests.this.waits.add(wait);
 			return (StoreChanges) StoreWatcherTests.this.responses.remove().get();
 		}
 
@@ -149,6 +215,11 @@
 
 	private final class RecordingListener implements StoreListener {
 
+		@Override
+		public @Nullable Duration maximumPollTime() {
+			return StoreWatcherTests.this.maximumPollTime;
+		}
+
 		@Override
 		public void onListing(List<StoreRecord> records) {
 			records.forEach((record) -> StoreWatcherTests.this.notifications.add("listed " + record.key()));
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchBackoffTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchBackoffTests.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.test.watch;
 
+import java.time.Duration;
+
 import org.apache.commons.rng.simple.RandomSource;
 import org.cyclamenstall.internal.watch.WatchBackoff;
 import org.cyclamenstall.internal.watch.WatchResult;
@@ -19,7 +21,8 @@
 
 	private static final long SECOND_MILLIS = 1_000;
 
-	private final WatchBackoff backoff = new WatchBackoff(RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+	private final WatchBackoff backoff = new WatchBackoff(Duration.ofMillis(150),
+			RandomSource.XO_RO_SHI_RO_128_PP.create(1));
 
 	private int callsPerSecond(WatchResult result) {
 		long elapsedMillis = 0;
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchedHostListTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchedHostListTests.java
@@ -19,6 +19,10 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.nullValue;
 
 /**
  * Tests of {@link WatchedHostList}.
@@ -53,6 +57,16 @@
 		return this.hosts.current().hosts(SERVICE).stream().map(ListedHost::host).toList();
 	}
 
+	private HostState stateOf(String name) {
+		return this.hosts.current()
+			.hosts(SERVICE)
+			.stream()
+			.filter((host) -> host.host().equals(name))
+			.findFirst()
+			.orElseThrow()
+			.state();
+	}
+
 	private static StoreRecord record(String name, long version) {
 		return new StoreRecord("upstreams/" + name, name.getBytes(StandardCharsets.UTF_8), version);
 	}
@@ -66,6 +80,14 @@
 	@Nested
 	class WhileTheStoreIsAvailable {
 
+		@Test
+		void theListIsCompleteAfterTheFirstListing() {
+			applyChange(record("one", 1));
+			assertThat(WatchedHostListTests.this.hosts.isListed(), is(false));
+			applyListing();
+			assertThat(WatchedHostListTests.this.hosts.isListed(), is(true));
+		}
+
 		@Test
 		void aRemovedUpstreamDisappearsImmediately() {
 			applyListing(record("one", 1), record("two", 2));
@@ -119,6 +141,43 @@
 			assertThat(hostNames(), contains("one"));
 		}
 
+		@Test
+		void theNextPollEndsWithTheGracePeriod() {
+			applyListing(record("one", 1), record("two", 2));
+			WatchedHostListTests.this.hosts.onStoreLost();
+			WatchedHostListTests.this.hosts.onStoreRecovered();
+			assertThat(WatchedHostListTests.this.hosts.maximumPollTime(), nullValue());
+			WatchedHostListTests.this.clock.advance(Duration.ofMillis(1_300));
+			applyRemoval("one", 3);
+			Duration pollTime = WatchedHostListTests.this.hosts.maximumPollTime();
+			assertThat(pollTime, lessThan(Duration.ofSeconds(1)));
+			advanceAndCompletePoll(pollTime);
+			assertThat(hostNames(), contains("two"));
+			assertThat(WatchedHostListTests.this.hosts.maximumPollTime(), nullValue());
+		}
+
+		@Test
+		void aSingleMissingUpstreamGetsNoNewRequests() {
+			applyListing(record("one", 1), record("two", 2), record("three", 3));
+			WatchedHostListTests.this.hosts.onStoreLost();
+			WatchedHostListTests.this.hosts.onStoreRecovered();
+			applyRemoval("one", 4);
+			assertThat(stateOf("one"), equalTo(HostState.LEAVING));
+			applyChange(record("one", 5));
+			assertThat(stateOf("one"), equalTo(HostState.LIVE));
+		}
+
+		@Test
+		void manyMissingUpstreamsStayInUse() {
+			applyListing(record("one", 1), record("two", 2), record("three", 3));
+			WatchedHostListTests.this.hosts.onStoreLost();
+			WatchedHostListTests.this.hosts.onStoreRecovered();
+			applyRemoval("one", 4);
+			applyRemoval("two", 5);
+			assertThat(stateOf("one"), equalTo(HostState.LIVE));
+			assertThat(stateOf("two"), equalTo(HostState.LIVE));
+		}
+
 		@Test
 		void anUpstreamThatDoesNotRegisterAgainIsRemovedAfterTheGracePeriod() {
 			applyListing(record("one", 1), record("two", 2));
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/hosts/ListedHost.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/hosts/ListedHost.java
@@ -30,4 +30,14 @@
 		this(service, host, address, port, failureDomain, state, 0, 0);
 	}
 
+	/**
+	 * Returns this host in another state.
+	 * @param newState the state
+	 * @return the host
+	 */
+	public ListedHost withState(HostState newState) {
+		return new ListedHost(this.service, this.host, this.address, this.port, this.failureDomain, newState,
+				this.slots, this.incarnation);
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -23,6 +23,7 @@
 import org.cyclamenstall.internal.routes.WatchedRouteTable;
 import org.cyclamenstall.internal.watch.StoreStaleness;
 import org.cyclamenstall.internal.watch.StoreWatcher;
+import org.cyclamenstall.internal.watch.WatchTiming;
 import org.cyclamenstall.internal.watch.WatchedHostList;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.ServiceRegistry;
@@ -65,6 +66,8 @@
 
 	private final WatchedRouteTable routes;
 
+	private final WatchedHostList hosts;
+
 	private final ApiKeyAuthorization keyAuthorization;
 
 	private volatile boolean shuttingDown;
@@ -83,13 +86,14 @@
 		this.events = events;
 		this.keyAuthorization = new ApiKeyAuthorization(this.staleness, settings.maximumKeyStaleness());
 		this.routes = new WatchedRouteTable(deployment.configurationKey(), deployment.routeTableCodec(), events);
-		WatchedHostList hosts = new WatchedHostList(deployment.hostsPrefix(), deployment.hostCodec(), this.clock,
-				events);
+		this.hosts = new WatchedHostList(deployment.hostsPrefix(), deployment.hostCodec(), this.clock, events);
 		StoreWatcher watcher = new StoreWatcher(deployment.store(), deployment.watchedPrefix(), this.staleness,
+				WatchTiming.of(settings.maximumStoreDisconnection(), settings.maximumChangeDelay(),
+						settings.maximumKeyStaleness()),
 				random(), events);
 		watcher.addListener(this.routes);
-		watcher.addListener(hosts);
-		this.services.register(ServiceNames.TRAFFIC, new PlacementTrafficController(settings.placement(), hosts,
+		watcher.addListener(this.hosts);
+		this.services.register(ServiceNames.TRAFFIC, new PlacementTrafficController(settings.placement(), this.hosts,
 				settings.failureDomain(), this.clock, random(), events, this.metrics));
 		RoutedCallerProtocol protocol = new RoutedCallerProtocol(this.routes, this.keyAuthorization,
 				deployment.requestHeaderCodec(), deployment.upstreamProtocol(), deployment.responseWriter(),
@@ -191,7 +195,7 @@
 		if (this.shuttingDown) {
 			return new Readiness(false, ErrorKind.SHUTTING_DOWN.code());
 		}
-		if (this.routes.current().isEmpty()) {
+		if (this.routes.current().isEmpty() || !this.hosts.isListed()) {
 			return new Readiness(false, ErrorKind.NOT_READY.code());
 		}
 		if (!this.keyAuthorization.mayAcceptKeys()) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemonSettings.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemonSettings.java
@@ -18,11 +18,16 @@
  * @param metricsAddress the address of the metrics endpoint, or {@code null} for none
  * @param maximumKeyStaleness the time for which API keys are accepted after the
  * configuration was last confirmed, or {@code null} for no limit
+ * @param maximumStoreDisconnection the maximum time until a silent loss of the connection
+ * to the store must be detected
+ * @param maximumChangeDelay the maximum time until a change of the configuration or of
+ * the list of upstreams must be in force
  * @param maximumShutdownTime the maximum time of a graceful shutdown
  * @param placement the settings of the placement policy
  */
 public record RoutedDaemonSettings(String host, String failureDomain, CallerSettings callers,
 		InetSocketAddress readinessAddress, String readinessPath, @Nullable InetSocketAddress metricsAddress,
-		@Nullable Duration maximumKeyStaleness, Duration maximumShutdownTime, PlacementSettings placement) {
+		@Nullable Duration maximumKeyStaleness, Duration maximumStoreDisconnection, Duration maximumChangeDelay,
+		Duration maximumShutdownTime, PlacementSettings placement) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreListener.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreListener.java
@@ -1,9 +1,11 @@
 package org.cyclamenstall.internal.watch;
 
+import java.time.Duration;
 import java.util.List;
 
 import org.cyclamenstall.store.StoreChange;
 import org.cyclamenstall.store.StoreRecord;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Receives the records and changes of a watched store. The methods are called in order on
@@ -45,4 +47,12 @@
 	default void onPollCompleted() {
 	}
 
+	/**
+	 * Returns the maximum time until the next call of {@link #onPollCompleted()}.
+	 * @return the maximum time, or {@code null} for no limit
+	 */
+	default @Nullable Duration maximumPollTime() {
+		return null;
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreStaleness.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreStaleness.java
@@ -6,9 +6,9 @@
 
 /**
  * Tracks the time since the state of the store was last confirmed by a successful call.
- * The age is measured from the time when the request was sent, because the response may
- * not reflect later changes, and includes the time during which the host is suspended.
- * Thread-safe.
+ * The age is measured from a time at which the state is known to have been current, not
+ * from the arrival of the response, which may not reflect later changes. It includes the
+ * time during which the host is suspended. Thread-safe.
  */
 public final class StoreStaleness {
 
@@ -36,10 +36,11 @@
 
 	/**
 	 * Records a successful call.
-	 * @param sentAtNanos the time when the request was sent, from {@link #nowNanos()}
+	 * @param currentAtNanos a time at which the state was current, on the clock of
+	 * {@link #nowNanos()}: at the earliest the time when the request was sent
 	 */
-	void recordConfirmation(long sentAtNanos) {
-		this.confirmedAtNanos = sentAtNanos;
+	void recordConfirmation(long currentAtNanos) {
+		this.confirmedAtNanos = currentAtNanos;
 		this.confirmed = true;
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
@@ -29,13 +30,6 @@
 
 	private static final Logger logger = LogManager.getLogger(StoreWatcher.class);
 
-	/**
-	 * Time after which the store responds to a long poll although nothing has changed.
-	 */
-	private static final Duration LONG_POLL_WAIT = Duration.ofMillis(2_000);
-
-	private static final Duration LONG_POLL_TIMEOUT_MARGIN = Duration.ofMillis(700);
-
 	private static final Duration LIST_TIMEOUT = Duration.ofMillis(1_500);
 
 	private final List<StoreListener> listeners = new CopyOnWriteArrayList<>();
@@ -46,6 +40,8 @@
 
 	private final StoreStaleness staleness;
 
+	private final WatchTiming timing;
+
 	private final WatchBackoff backoff;
 
 	private final EventLog events;
@@ -67,15 +63,17 @@
 	 * @param store the store
 	 * @param prefix the prefix of the keys to watch
 	 * @param staleness records each successful poll
+	 * @param timing the durations of the polls
 	 * @param random the random number generator for jitter
 	 * @param events the event log
 	 */
-	public StoreWatcher(WatchedStore store, String prefix, StoreStaleness staleness, UniformRandomProvider random,
-			EventLog events) {
+	public StoreWatcher(WatchedStore store, String prefix, StoreStaleness staleness, WatchTiming timing,
+			UniformRandomProvider random, EventLog events) {
 		this.store = store;
 		this.prefix = prefix;
 		this.staleness = staleness;
-		this.backoff = new WatchBackoff(random);
+		this.timing = timing;
+		this.backoff = new WatchBackoff(timing.changeDelay(), random);
 		this.events = events;
 	}
 
@@ -147,18 +145,39 @@
 
 	private boolean readChanges(long sentAtNanos) {
 		// Does not wait during an outage, so that the recovery is detected immediately.
-		Duration wait = this.storeLost ? Duration.ZERO : LONG_POLL_WAIT;
+		Duration wait = this.storeLost ? Duration.ZERO : longPollWait();
 		StoreChanges changes = this.store.changesAfter(this.prefix, this.index, wait,
-				wait.plus(LONG_POLL_TIMEOUT_MARGIN));
+				wait.plus(WatchTiming.LONG_POLL_TIMEOUT_MARGIN));
+		Duration elapsed = Duration.ofNanos(this.staleness.nowNanos() - sentAtNanos);
 		recordResponse();
 		for (StoreChange change : changes.changes()) {
 			this.listeners.forEach((listener) -> listener.onChange(change));
 		}
 		this.index = Math.max(this.index, changes.index());
-		this.staleness.recordConfirmation(sentAtNanos);
+		boolean waitedInFull = changes.changes().isEmpty() && elapsed.compareTo(wait) >= 0;
+		this.staleness.recordConfirmation(sentAtNanos + (waitedInFull ? confirmedWait(wait).toNanos() : 0));
 		return !changes.changes().isEmpty();
 	}
 
+	private Duration longPollWait() {
+		return this.listeners.stream()
+			.map(StoreListener::maximumPollTime)
+			.filter(Objects::nonNull)
+			.reduce(this.timing.longPollWait(), (first, second) -> (first.compareTo(second) <= 0) ? first : second);
+	}
+
+	/**
+	 * Returns how long after its request a poll without changes confirms the state. The
+	 * store responds to it only after the wait, so nothing had changed until then, apart
+	 * from changes that the store notifies late.
+	 * @param wait the wait of the poll
+	 * @return the time from the request to the confirmed state
+	 */
+	private static Duration confirmedWait(Duration wait) {
+		Duration confirmed = wait.minus(WatchTiming.MAXIMUM_NOTIFICATION_DELAY);
+		return confirmed.isNegative() ? Duration.ZERO : confirmed;
+	}
+
 	private void recordResponse() {
 		if (this.storeLost) {
 			this.storeLost = false;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchBackoff.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchBackoff.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.internal.watch;
 
+import java.time.Duration;
+
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -10,12 +12,6 @@
  */
 public final class WatchBackoff {
 
-	/**
-	 * Base delay after a poll that returned changes, during which further changes
-	 * accumulate.
-	 */
-	private static final long CHANGE_DELAY_MILLIS = 150;
-
 	private static final long INITIAL_BACKOFF_MILLIS = 60;
 
 	/**
@@ -23,15 +19,20 @@
 	 */
 	private static final long MAXIMUM_BACKOFF_MILLIS = 250;
 
+	private final long changeDelayMillis;
+
 	private final UniformRandomProvider random;
 
 	private long backoffMillis = INITIAL_BACKOFF_MILLIS;
 
 	/**
 	 * Creates a backoff in its initial state, with no failure recorded.
+	 * @param changeDelay the base delay after a poll that returned changes, during which
+	 * further changes accumulate
 	 * @param random the random number generator for jitter
 	 */
-	public WatchBackoff(UniformRandomProvider random) {
+	public WatchBackoff(Duration changeDelay, UniformRandomProvider random) {
+		this.changeDelayMillis = changeDelay.toMillis();
 		this.random = random;
 	}
 
@@ -49,7 +50,7 @@
 			return delay;
 		}
 		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
-		return (result == WatchResult.CHANGED) ? withJitter(CHANGE_DELAY_MILLIS) : 0;
+		return (result == WatchResult.CHANGED) ? withJitter(this.changeDelayMillis) : 0;
 	}
 
 	private long withJitter(long millis) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchedHostList.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchedHostList.java
@@ -18,6 +18,7 @@
 import org.cyclamenstall.hosts.HostCodec;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.store.StoreChange;
@@ -28,7 +29,8 @@
  * Lists the upstreams that have a record in the store. While the store is unavailable,
  * the last list is kept. A record that disappears during an outage or shortly after it
  * may only have expired, so its upstream stays listed for a grace period in which it can
- * register again. Thread-safe.
+ * register again. Meanwhile it is listed as leaving, unless so many records of its
+ * service disappeared that the outage is the likely cause. Thread-safe.
  */
 public final class WatchedHostList implements HostList, StoreListener {
 
@@ -37,6 +39,12 @@
 	 */
 	private static final Duration REGISTRATION_GRACE_PERIOD = Duration.ofMillis(2_200);
 
+	/**
+	 * Share of the records of a service up to which disappeared ones are taken for hosts
+	 * that left.
+	 */
+	private static final double MAXIMUM_LEAVING_SHARE = 1.0 / 3;
+
 	private final List<Consumer<HostSnapshot>> listeners = new CopyOnWriteArrayList<>();
 
 	private final Map<String, StoreRecord> records = new HashMap<>();
@@ -55,6 +63,8 @@
 
 	private volatile HostSnapshot snapshot = HostSnapshot.EMPTY;
 
+	private volatile boolean listed;
+
 	private boolean storeUnavailable;
 
 	private boolean inGracePeriod;
@@ -80,6 +90,14 @@
 		return this.snapshot;
 	}
 
+	/**
+	 * Returns whether the records have been listed.
+	 * @return {@code true} after the first listing
+	 */
+	public boolean isListed() {
+		return this.listed;
+	}
+
 	@Override
 	public void addListener(Consumer<HostSnapshot> listener) {
 		this.listeners.add(listener);
@@ -107,6 +125,7 @@
 		}
 		this.records.keySet().retainAll(listedKeys);
 		publishIfChanged(changed);
+		this.listed = true;
 	}
 
 	@Override
@@ -139,10 +158,17 @@
 		this.recoveredAtNanos = this.clock.nanoTime();
 	}
 
+	@Override
+	public synchronized @Nullable Duration maximumPollTime() {
+		if (!this.inGracePeriod || this.storeUnavailable || this.pendingRemovals.isEmpty()) {
+			return null;
+		}
+		return Duration.ofNanos(Math.max(0, remainingGraceNanos())).plusMillis(1);
+	}
+
 	@Override
 	public synchronized void onPollCompleted() {
-		if (!this.inGracePeriod || this.storeUnavailable
-				|| this.clock.nanoTime() - this.recoveredAtNanos < REGISTRATION_GRACE_PERIOD.toNanos()) {
+		if (!this.inGracePeriod || this.storeUnavailable || remainingGraceNanos() > 0) {
 			return;
 		}
 		this.inGracePeriod = false;
@@ -154,9 +180,13 @@
 		publishIfChanged(changed);
 	}
 
+	private long remainingGraceNanos() {
+		return REGISTRATION_GRACE_PERIOD.toNanos() - (this.clock.nanoTime() - this.recoveredAtNanos);
+	}
+
 	private boolean applyRecord(StoreRecord record) {
 		this.records.put(record.key(), record);
-		this.pendingRemovals.remove(record.key());
+		boolean wasPending = this.pendingRemovals.remove(record.key());
 		Optional<ListedHost> host = this.codec.decode(record);
 		if (host.isEmpty()) {
 			this.events.record(new Event.UpstreamRecordUnreadable(record.key(), record.version()));
@@ -164,7 +194,7 @@
 		}
 		ListedHost previous = this.hosts.put(record.key(), host.get());
 		if (host.get().equals(previous)) {
-			return false;
+			return wasPending;
 		}
 		this.events.record(listedEvent(host.get(), record.version()));
 		return true;
@@ -175,8 +205,7 @@
 			return false;
 		}
 		if (this.storeUnavailable || this.inGracePeriod) {
-			this.pendingRemovals.add(key);
-			return false;
+			return this.pendingRemovals.add(key);
 		}
 		return removeHost(key, "it has no record any more");
 	}
@@ -199,9 +228,19 @@
 		if (!changed) {
 			return;
 		}
+		Map<String, Integer> hostCounts = new HashMap<>();
+		Map<String, Integer> pendingCounts = new HashMap<>();
+		this.hosts.forEach((key, host) -> {
+			hostCounts.merge(host.service(), 1, Integer::sum);
+			pendingCounts.merge(host.service(), this.pendingRemovals.contains(key) ? 1 : 0, Integer::sum);
+		});
 		Map<String, List<ListedHost>> byService = new HashMap<>();
-		this.hosts.values()
-			.forEach((host) -> byService.computeIfAbsent(host.service(), (service) -> new ArrayList<>()).add(host));
+		this.hosts.forEach((key, host) -> {
+			boolean leaving = this.pendingRemovals.contains(key)
+					&& pendingCounts.get(host.service()) <= hostCounts.get(host.service()) * MAXIMUM_LEAVING_SHARE;
+			byService.computeIfAbsent(host.service(), (service) -> new ArrayList<>())
+				.add(leaving ? host.withState(HostState.LEAVING) : host);
+		});
 		HostSnapshot newSnapshot = new HostSnapshot(byService);
 		this.snapshot = newSnapshot;
 		this.listeners.forEach((listener) -> listener.accept(newSnapshot));
