Exchange the current load among daemons

Cause: at size every daemon decides blindly. Change: LoadExchange sends, in datagrams of Thrift's compact protocol, how many requests and pending prompt tokens a daemon has at each upstream, every 100 ms, or every 5 ms per daemon if that is more. Within a failure domain each daemon gets each report; into another domain one goes to a random daemon, which adds it to its own next datagram. Placement adds the load of the others to its own, and an upstream whose slots are full costs more. A daemon that hears from nobody places as before. Tests: FleetLoadTests, LoadMembersTests, PlacementTests WhenOtherDaemonsReportTheirLoad.

--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/load/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Tests of the load exchange among daemons.
+ */
+@org.jspecify.annotations.NullMarked
+package org.cyclamenstall.test.peers.load;
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
@@ -16,6 +16,7 @@
 import org.cyclamenstall.hosts.HostSnapshot;
 import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.internal.peers.load.FleetLoad;
 import org.cyclamenstall.internal.policy.placement.PlacementSettings;
 import org.cyclamenstall.internal.policy.placement.PlacementTrafficController;
 import org.cyclamenstall.junit.ManualClock;
@@ -45,6 +46,8 @@
 
 	final List<Event> events = new ArrayList<>();
 
+	final FleetLoad fleetLoad = new FleetLoad();
+
 	final PlacementTrafficController controller;
 
 	private int requestCount;
@@ -60,7 +63,7 @@
 					"domain-" + index % 4, HostState.LIVE, 128, 1));
 		}
 		this.controller = new PlacementTrafficController(new PlacementSettings(10_000, 0.16, 4), new FixtureHostList(),
-				failureDomain, clock, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.events::add,
+				failureDomain, this.fleetLoad, clock, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.events::add,
 				new PrometheusRegistry());
 		this.controller.start();
 	}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
@@ -2,17 +2,21 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.events.Event;
 import org.cyclamenstall.hosts.HostState;
+import org.cyclamenstall.internal.peers.load.UpstreamLoad;
 import org.cyclamenstall.internal.policy.placement.PlacementTrafficController;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
+import org.cyclamenstall.test.peers.load.LoadReports;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -120,6 +124,54 @@
 
 	}
 
+	@Nested
+	class WhenOtherDaemonsReportTheirLoad {
+
+		@Test
+		void chatsAvoidAnEngineThatOthersFilled() {
+			for (int seed = 1; seed <= 5; seed++) {
+				PlacementFixture fixture = new PlacementFixture(8, DOMAIN, seed);
+				String busy = fixture.submitChat().upstream();
+				report(fixture, 1, LoadReports.load(busy, 130, 0, 0));
+				for (int index = 0; index < 6; index++) {
+					assertThat(fixture.submitChat().upstream(), not(equalTo(busy)));
+				}
+			}
+		}
+
+		@Test
+		void pendingPromptsOfOthersLeaveNoRoom() {
+			PlacementFixture fixture = new PlacementFixture(1, DOMAIN, 1);
+			fixture.submitPlan(2, 12_000, "first");
+			report(fixture, 1, LoadReports.load("engine-0", 1, 2, 20_000));
+			PlacedRequest queued = fixture.submitPlan(2, 12_000, "second");
+			assertThat(queued.isPending(), is(true));
+			report(fixture, 2);
+			fixture.controller.tick();
+			assertThat(queued.isPending(), is(false));
+		}
+
+		@Test
+		void daemonsThatTakeTurnsSpreadTheirRequests() {
+			PlacementFixture first = new PlacementFixture(6, DOMAIN, 1);
+			PlacementFixture second = new PlacementFixture(6, DOMAIN, 2);
+			Map<String, Integer> requestsByUpstream = new HashMap<>();
+			for (int turn = 1; turn <= 12; turn++) {
+				requestsByUpstream.merge(first.submitLookup().upstream(), 1, Integer::sum);
+				report(second, turn, first.controller.localLoads().toArray(UpstreamLoad[]::new));
+				requestsByUpstream.merge(second.submitLookup().upstream(), 1, Integer::sum);
+				report(first, turn, second.controller.localLoads().toArray(UpstreamLoad[]::new));
+			}
+			assertThat(requestsByUpstream.values(), everyItem(equalTo(4)));
+		}
+
+		private void report(PlacementFixture fixture, long sequence, UpstreamLoad... loads) {
+			fixture.fleetLoad.record(LoadReports.report(LoadReports.endpoint(9, DOMAIN), sequence, loads),
+					fixture.clock.nanoTime());
+		}
+
+	}
+
 	@Nested
 	class WhenTheEnginesAreFull {
 
--- a/org.cyclamenstall.wire/src/main/thrift/peer.thrift
+++ b/org.cyclamenstall.wire/src/main/thrift/peer.thrift
@@ -92,6 +92,41 @@
   1: optional RefusalReason reason
 }
 
+/** Names the address at which a daemon receives load reports. */
+struct LoadEndpoint {
+  // Four or sixteen bytes in network order.
+  1: required binary address
+  2: required i32 port
+  3: optional string failureDomain
+}
+
+/** Reports the work that a daemon has at one upstream. */
+struct UpstreamLoad {
+  // Hash of the name of the upstream.
+  1: required i64 upstream
+  2: required i32 running
+  // Prompt tokens of requests without a first event, by priority level.
+  3: optional map<i8, i32> pendingTokensByPriority
+}
+
+/** Reports the work of a daemon at all upstreams. */
+struct LoadReport {
+  1: required LoadEndpoint sender
+  2: required i64 incarnation
+  3: required i64 sequence
+  4: optional list<UpstreamLoad> loads
+  // Other daemons that the sender hears from.
+  5: optional list<LoadEndpoint> members
+  // The receiver forwards the report to the daemons of its failure domain.
+  6: optional bool relay
+  7: optional bool leaving
+}
+
+/** Holds the contents of one datagram: the report of the sender and those that it relays. */
+struct LoadDatagram {
+  1: required list<LoadReport> reports
+}
+
 service PeerService {
   ExchangeResponse exchange(1: ExchangeRequest request) throws (1: PeerRefusal refusal)
   ClaimReport queryClaim(1: ClaimQuery query) throws (1: PeerRefusal refusal)
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -19,6 +19,9 @@
 import org.cyclamenstall.internal.kernel.BootClock;
 import org.cyclamenstall.internal.logging.LogSetup;
 import org.cyclamenstall.internal.operators.Readiness;
+import org.cyclamenstall.internal.peers.load.FleetLoad;
+import org.cyclamenstall.internal.peers.load.LoadExchange;
+import org.cyclamenstall.internal.peers.load.LoadExchangeSettings;
 import org.cyclamenstall.internal.policy.placement.PlacementTrafficController;
 import org.cyclamenstall.internal.routes.WatchedRouteTable;
 import org.cyclamenstall.internal.watch.StoreStaleness;
@@ -93,8 +96,12 @@
 				random(), events);
 		watcher.addListener(this.routes);
 		watcher.addListener(this.hosts);
+		FleetLoad fleetLoad = new FleetLoad();
 		this.services.register(ServiceNames.TRAFFIC, new PlacementTrafficController(settings.placement(), this.hosts,
-				settings.failureDomain(), this.clock, random(), events, this.metrics));
+				settings.failureDomain(), fleetLoad, this.clock, random(), events, this.metrics));
+		if (settings.loadExchange() != null) {
+			registerLoadExchange(settings.loadExchange(), fleetLoad);
+		}
 		RoutedCallerProtocol protocol = new RoutedCallerProtocol(this.routes, this.keyAuthorization,
 				deployment.requestHeaderCodec(), deployment.upstreamProtocol(), deployment.responseWriter(),
 				settings.host(), this.incarnation, this.clock, random());
@@ -113,6 +120,14 @@
 				() -> this.routes.current().map(RouteTable::version).orElse(0L));
 	}
 
+	private void registerLoadExchange(LoadExchangeSettings exchangeSettings, FleetLoad fleetLoad) {
+		LoadExchange exchange = this.services.register(ServiceNames.LOAD_EXCHANGE,
+				new LoadExchange(exchangeSettings, this.settings.failureDomain(), this.incarnation,
+						controller()::localLoads, fleetLoad, this.clock, random()));
+		registerGauge("cyclamenstall_load_members", "Daemons that exchange their load, including this one.",
+				exchange::memberCount);
+	}
+
 	/**
 	 * Starts every service in the order of registration.
 	 */
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemonSettings.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemonSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
+import org.cyclamenstall.internal.peers.load.LoadExchangeSettings;
 import org.cyclamenstall.internal.policy.placement.PlacementSettings;
 import org.cyclamenstall.settings.CallerSettings;
 import org.jspecify.annotations.Nullable;
@@ -24,10 +25,12 @@
  * the list of upstreams must be in force
  * @param maximumShutdownTime the maximum time of a graceful shutdown
  * @param placement the settings of the placement policy
+ * @param loadExchange the settings of the load exchange with other daemons, or
+ * {@code null} for none
  */
 public record RoutedDaemonSettings(String host, String failureDomain, CallerSettings callers,
 		InetSocketAddress readinessAddress, String readinessPath, @Nullable InetSocketAddress metricsAddress,
 		@Nullable Duration maximumKeyStaleness, Duration maximumStoreDisconnection, Duration maximumChangeDelay,
-		Duration maximumShutdownTime, PlacementSettings placement) {
+		Duration maximumShutdownTime, PlacementSettings placement, @Nullable LoadExchangeSettings loadExchange) {
 
 }
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
@@ -0,0 +1,256 @@
+package org.cyclamenstall.internal.peers.load;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.kernel.MonotonicClock;
+import org.cyclamenstall.kernel.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends the load of this daemon to the other daemons in datagrams, and receives theirs.
+ * Reports are hints for placement: a lost or late one makes placement less exact, and a
+ * daemon that receives none places by its own load. The interval grows with the number of
+ * daemons, so that the number of datagrams of one daemon is bounded. Thread-safe: the
+ * members and the reports to relay are guarded by the monitor of the members.
+ */
+public final class LoadExchange implements Service {
+
+	private static final Logger logger = LogManager.getLogger(LoadExchange.class);
+
+	/** Maximum size of a datagram with several reports, which avoids fragmentation. */
+	private static final int MAXIMUM_DATAGRAM_BYTES = 1_400;
+
+	private static final int RECEIVE_BUFFER_BYTES = 9_000;
+
+	private static final long MINIMUM_INTERVAL_MILLIS = 100;
+
+	/** Interval of reports per daemon, which bounds the datagrams of each daemon. */
+	private static final long INTERVAL_MILLIS_PER_MEMBER = 5;
+
+	/** Time after which a report is sent although nothing has changed. */
+	private static final long HEARTBEAT_MILLIS = 500;
+
+	private final LoadExchangeSettings settings;
+
+	private final LoadEndpoint self;
+
+	private final long incarnation;
+
+	private final Supplier<List<UpstreamLoad>> localLoads;
+
+	private final FleetLoad fleetLoad;
+
+	private final MonotonicClock clock;
+
+	private final LoadMembers members;
+
+	private final LoadReportCodec codec = new LoadReportCodec();
+
+	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread thread = new Thread(task, "load-exchange");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final Map<LoadEndpoint, LoadReport> reportsToRelay = new HashMap<>();
+
+	private @Nullable DatagramSocket socket;
+
+	private volatile int memberCount = 1;
+
+	private long sequence;
+
+	private boolean lastReportEmpty;
+
+	private long lastHeartbeatAtNanos;
+
+	/**
+	 * Creates an exchange.
+	 * @param settings the settings
+	 * @param failureDomain the failure domain of this daemon
+	 * @param incarnation the start time of this daemon, in milliseconds since the epoch
+	 * @param localLoads returns the load of this daemon
+	 * @param fleetLoad receives the load of the other daemons
+	 * @param clock the monotonic clock
+	 * @param random selects the daemons that relay reports
+	 */
+	public LoadExchange(LoadExchangeSettings settings, String failureDomain, long incarnation,
+			Supplier<List<UpstreamLoad>> localLoads, FleetLoad fleetLoad, MonotonicClock clock,
+			UniformRandomProvider random) {
+		this.settings = settings;
+		this.self = new LoadEndpoint(settings.address(), failureDomain);
+		this.incarnation = incarnation;
+		this.localLoads = localLoads;
+		this.fleetLoad = fleetLoad;
+		this.clock = clock;
+		this.members = new LoadMembers(this.self,
+				settings.seeds().stream().map((seed) -> new LoadEndpoint(seed, "")).toList(), random);
+	}
+
+	@Override
+	public void start() {
+		try {
+			DatagramSocket newSocket = new DatagramSocket(this.settings.address());
+			this.socket = newSocket;
+			Thread receiver = new Thread(() -> receiveReports(newSocket), "load-receiver");
+			receiver.setDaemon(true);
+			receiver.start();
+			this.executor.execute(this::sendReportAndReschedule);
+		}
+		catch (IOException ex) {
+			throw new RouterException(ErrorKind.SETTINGS_INVALID, "cannot listen on " + this.settings.address(), ex);
+		}
+	}
+
+	/**
+	 * Returns the number of daemons that exchange reports, including this one.
+	 * @return the number
+	 */
+	public int memberCount() {
+		return this.memberCount;
+	}
+
+	@Override
+	public void close() {
+		DatagramSocket currentSocket = this.socket;
+		if (currentSocket != null) {
+			this.executor.execute(() -> {
+				sendFarewell();
+				currentSocket.close();
+			});
+		}
+		this.executor.shutdown();
+	}
+
+	private void sendFarewell() {
+		synchronized (this.members) {
+			LoadReport farewell = new LoadReport(this.self, this.incarnation, ++this.sequence, List.of(), List.of(),
+					false, true);
+			send(this.members.directReceivers(this.clock.nanoTime()), List.of(farewell));
+			send(this.members.relayReceivers(), List.of(farewell.withRelay(true)));
+		}
+	}
+
+	private void sendReportAndReschedule() {
+		long delayMillis = MINIMUM_INTERVAL_MILLIS;
+		try {
+			delayMillis = sendReport();
+		}
+		catch (RuntimeException ex) {
+			logger.error("Could not report the load", ex);
+		}
+		try {
+			this.executor.schedule(this::sendReportAndReschedule, delayMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (RejectedExecutionException ex) {
+			logger.debug("Stopped reporting the load: the daemon shuts down");
+		}
+	}
+
+	private long sendReport() {
+		List<UpstreamLoad> loads = this.localLoads.get();
+		long nowNanos = this.clock.nanoTime();
+		this.fleetLoad.removeExpired(nowNanos);
+		synchronized (this.members) {
+			this.members.removeExpired(nowNanos);
+			this.memberCount = this.members.size();
+			sendReport(loads, nowNanos);
+		}
+		return Math.max(MINIMUM_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_MEMBER * this.memberCount);
+	}
+
+	private void sendReport(List<UpstreamLoad> loads, long nowNanos) {
+		boolean heartbeatDue = nowNanos - this.lastHeartbeatAtNanos >= TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS);
+		boolean nothingNew = loads.isEmpty() && this.lastReportEmpty && !heartbeatDue;
+		this.lastReportEmpty = loads.isEmpty();
+		List<LoadReport> reports = new ArrayList<>(this.reportsToRelay.values());
+		this.reportsToRelay.clear();
+		if (!nothingNew) {
+			List<LoadEndpoint> namedMembers = heartbeatDue ? this.members.namedMembers() : List.of();
+			this.lastHeartbeatAtNanos = heartbeatDue ? nowNanos : this.lastHeartbeatAtNanos;
+			LoadReport report = new LoadReport(this.self, this.incarnation, ++this.sequence, loads, namedMembers, false,
+					false);
+			reports.add(report);
+			send(this.members.relayReceivers(), List.of(report.withRelay(true)));
+		}
+		if (!reports.isEmpty()) {
+			send(this.members.directReceivers(nowNanos), reports);
+		}
+	}
+
+	private void send(Collection<LoadEndpoint> receivers, List<LoadReport> reports) {
+		if (receivers.isEmpty()) {
+			return;
+		}
+		byte[] bytes = this.codec.encode(reports);
+		if (bytes.length > MAXIMUM_DATAGRAM_BYTES && reports.size() > 1) {
+			int half = reports.size() / 2;
+			send(receivers, reports.subList(0, half));
+			send(receivers, reports.subList(half, reports.size()));
+			return;
+		}
+		receivers.forEach((receiver) -> send(bytes, receiver));
+	}
+
+	private void send(byte[] bytes, LoadEndpoint receiver) {
+		DatagramSocket currentSocket = this.socket;
+		if (currentSocket == null) {
+			return;
+		}
+		try {
+			currentSocket.send(new DatagramPacket(bytes, bytes.length, receiver.address()));
+		}
+		catch (IOException ex) {
+			logger.debug("Could not send a load report to {}", receiver.address(), ex);
+		}
+	}
+
+	private void receiveReports(DatagramSocket receivingSocket) {
+		LoadReportCodec receivingCodec = new LoadReportCodec();
+		byte[] buffer = new byte[RECEIVE_BUFFER_BYTES];
+		while (!receivingSocket.isClosed()) {
+			DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+			try {
+				receivingSocket.receive(packet);
+			}
+			catch (IOException ex) {
+				if (!receivingSocket.isClosed()) {
+					logger.debug("Could not receive a load report", ex);
+				}
+				continue;
+			}
+			receivingCodec.decode(buffer, packet.getLength()).forEach(this::onReport);
+		}
+	}
+
+	private void onReport(LoadReport report) {
+		long nowNanos = this.clock.nanoTime();
+		if (report.sender().equals(this.self) || !this.fleetLoad.record(report, nowNanos)) {
+			return;
+		}
+		synchronized (this.members) {
+			this.members.recordReport(report, nowNanos);
+			if (report.relay()) {
+				this.reportsToRelay.put(report.sender(), report.withRelay(false));
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReport.java
@@ -0,0 +1,30 @@
+package org.cyclamenstall.internal.peers.load;
+
+import java.util.List;
+
+/**
+ * Reports the work that a daemon has at all upstreams. Immutable.
+ *
+ * @param sender the daemon that reports
+ * @param incarnation the start time of the daemon, in milliseconds since the epoch
+ * @param sequence the number of the report, which increases within an incarnation
+ * @param loads the work at each upstream that has any
+ * @param members some of the other daemons that the sender hears from
+ * @param relay whether the receiver forwards the report, with its own next one, to the
+ * daemons of its failure domain
+ * @param leaving whether the sender is shutting down and reports for the last time
+ */
+public record LoadReport(LoadEndpoint sender, long incarnation, long sequence, List<UpstreamLoad> loads,
+		List<LoadEndpoint> members, boolean relay, boolean leaving) {
+
+	/**
+	 * Returns this report for a receiver that relays it or does not.
+	 * @param newRelay whether the receiver forwards the report
+	 * @return the report
+	 */
+	public LoadReport withRelay(boolean newRelay) {
+		return new LoadReport(this.sender, this.incarnation, this.sequence, this.loads, this.members, newRelay,
+				this.leaving);
+	}
+
+}
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/UpstreamLoad.java
@@ -0,0 +1,32 @@
+package org.cyclamenstall.internal.peers.load;
+
+/**
+ * Describes the work that one daemon has at one upstream. Immutable; the array is not
+ * modified.
+ *
+ * @param upstreamKey the key of the upstream, see {@link #keyOf}
+ * @param running the number of requests sent and not ended
+ * @param pendingTokens the prompt tokens of the requests without a first event, indexed
+ * by priority level
+ */
+public record UpstreamLoad(long upstreamKey, int running, int[] pendingTokens) {
+
+	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+
+	private static final long FNV_PRIME = 0x100000001b3L;
+
+	/**
+	 * Returns the key of an upstream, which is shorter than its name and the same on all
+	 * daemons.
+	 * @param host the name of the upstream
+	 * @return the 64-bit FNV-1a hash of the name
+	 */
+	public static long keyOf(String host) {
+		long hash = FNV_OFFSET;
+		for (int index = 0; index < host.length(); index++) {
+			hash = (hash ^ host.charAt(index)) * FNV_PRIME;
+		}
+		return hash;
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
@@ -5,6 +5,7 @@
 import java.util.function.Predicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenstall.internal.peers.load.FleetLoad;
 import org.cyclamenstall.policy.RequestAttributes;
 import org.jspecify.annotations.Nullable;
 
@@ -19,7 +20,7 @@
  */
 final class LeastCostPlacement implements PlacementStrategy {
 
-	/** Cost of each request that this daemon has in flight at an engine. */
+	/** Cost of each request in flight at an engine. */
 	private static final double RUNNING_REQUEST_TOKENS = 60;
 
 	/** Cost of placing a short prompt or a plain request in another failure domain. */
@@ -34,8 +35,17 @@
 	/** Cost of placing a latency-sensitive request on an unreserved engine. */
 	private static final double LATENCY_SENSITIVE_ON_UNRESERVED_TOKENS = 12_000;
 
-	/** Assumed ratio of the pending prefill of all daemons to that of this daemon. */
-	private static final double PENDING_PREFILL_FACTOR = 2;
+	/**
+	 * Assumed ratio of the pending prefill of all daemons to that of this daemon, while
+	 * the load of the others is not known.
+	 */
+	private static final double UNKNOWN_LOAD_FACTOR = 2;
+
+	/**
+	 * Cost of each request by which an upstream exceeds its slots. Such requests wait in
+	 * the upstream, or displace less urgent ones.
+	 */
+	private static final double REQUEST_BEYOND_SLOTS_TOKENS = 4_000;
 
 	/** Longest latency objective for which pending prefill counts in full. */
 	private static final double URGENT_OBJECTIVE_NANOS = 300e6;
@@ -59,10 +69,13 @@
 
 	private final String failureDomain;
 
+	private final FleetLoad fleetLoad;
+
 	private final UniformRandomProvider random;
 
-	LeastCostPlacement(String failureDomain, UniformRandomProvider random) {
+	LeastCostPlacement(String failureDomain, FleetLoad fleetLoad, UniformRandomProvider random) {
 		this.failureDomain = failureDomain;
+		this.fleetLoad = fleetLoad;
 		this.random = random;
 	}
 
@@ -96,8 +109,9 @@
 			PrefixAffinity affinity) {
 		double uncached = Math.min(upstream.uncachedTokens(attributes.options().prompt()),
 				attributes.promptTokens() - affinity.cachedTokens(upstream));
-		double cost = uncached + upstream.pendingPrefillAhead(attributes) * PENDING_PREFILL_FACTOR * urgency(attributes)
-				+ upstream.inFlight() * RUNNING_REQUEST_TOKENS;
+		double pendingFactor = this.fleetLoad.isKnown() ? 1 : UNKNOWN_LOAD_FACTOR;
+		double cost = uncached + upstream.pendingPrefillAhead(attributes) * pendingFactor * urgency(attributes)
+				+ upstream.fleetInFlight() * RUNNING_REQUEST_TOKENS + beyondSlotsCost(upstream);
 		cost += partitionPenalty(upstream, partition, attributes);
 		return EnginePartition.isLongPrompt(attributes) ? cost : cost + crossDomainCost(upstream);
 	}
@@ -121,7 +135,14 @@
 	}
 
 	private double plainCost(PlacementUpstream upstream) {
-		return (upstream.inFlight() + 1) * PlacementTicket.PLAIN_REQUEST_TOKENS + crossDomainCost(upstream);
+		return (upstream.fleetInFlight() + 1) * PlacementTicket.PLAIN_REQUEST_TOKENS + beyondSlotsCost(upstream)
+				+ crossDomainCost(upstream);
+	}
+
+	private static double beyondSlotsCost(PlacementUpstream upstream) {
+		int slots = upstream.host().slots();
+		int requestsBeyondSlots = upstream.fleetInFlight() + 1 - slots;
+		return (slots > 0 && requestsBeyondSlots > 0) ? requestsBeyondSlots * REQUEST_BEYOND_SLOTS_TOKENS : 0;
 	}
 
 	private double crossDomainCost(PlacementUpstream upstream) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -6,11 +6,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Predicate;
 
 import org.cyclamenstall.events.Event;
 import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.internal.peers.load.FleetLoad;
+import org.cyclamenstall.internal.peers.load.UpstreamLoad;
 import org.cyclamenstall.internal.policy.upstream.MovingAverage;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.RequestAttributes;
@@ -55,8 +58,11 @@
 
 	private final EventLog events;
 
+	private final FleetLoad fleetLoad;
+
 	PlacementPool(PlacementStrategy strategy, Duration budgetWindow, double budgetShare, int minimumRetries,
-			EventLog events) {
+			FleetLoad fleetLoad, EventLog events) {
+		this.fleetLoad = fleetLoad;
 		this.events = events;
 		this.strategy = strategy;
 		this.retryBudget = new WindowedRetryBudget(budgetWindow, budgetShare, minimumRetries);
@@ -71,7 +77,7 @@
 				known.updateHost(host);
 			}
 			this.upstreamsByName.put(host.host(),
-					(known != null) ? known : new PlacementUpstream(host, DEFAULT_CACHE_TOKENS));
+					(known != null) ? known : new PlacementUpstream(host, DEFAULT_CACHE_TOKENS, this.fleetLoad));
 		}
 		updatePartition(nowNanos);
 	}
@@ -102,6 +108,18 @@
 				this.partition.reservedCount(), nowNanos));
 	}
 
+	/**
+	 * Returns the load of this daemon at each upstream that has any.
+	 * @return the loads
+	 */
+	List<UpstreamLoad> localLoads() {
+		return this.upstreamsByName.values()
+			.stream()
+			.map(PlacementUpstream::localLoad)
+			.filter(Objects::nonNull)
+			.toList();
+	}
+
 	int upstreamCount() {
 		return this.upstreamsByName.size();
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -18,6 +18,8 @@
 import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.internal.peers.load.FleetLoad;
+import org.cyclamenstall.internal.peers.load.UpstreamLoad;
 import org.cyclamenstall.internal.policy.DeferredCallbacks;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.AttemptResult;
@@ -56,6 +58,8 @@
 
 	private final HostList hosts;
 
+	private final FleetLoad fleetLoad;
+
 	private final MonotonicClock clock;
 
 	private final UniformRandomProvider random;
@@ -83,16 +87,19 @@
 	 * @param settings the retry budget settings
 	 * @param hosts the host list of the platform
 	 * @param failureDomain the failure domain of this daemon
+	 * @param fleetLoad the load of the other daemons
 	 * @param clock the monotonic clock
 	 * @param random the source of randomness
 	 * @param events the event log
 	 * @param registry the registry of the metrics
 	 */
 	public PlacementTrafficController(PlacementSettings settings, HostList hosts, String failureDomain,
-			MonotonicClock clock, UniformRandomProvider random, EventLog events, PrometheusRegistry registry) {
+			FleetLoad fleetLoad, MonotonicClock clock, UniformRandomProvider random, EventLog events,
+			PrometheusRegistry registry) {
 		this.settings = settings;
 		this.hosts = hosts;
 		this.failureDomain = failureDomain;
+		this.fleetLoad = fleetLoad;
 		this.clock = clock;
 		this.random = random;
 		this.overloadPolicy = new OverloadPolicy(random);
@@ -232,6 +239,16 @@
 		}
 	}
 
+	/**
+	 * Returns the load of this daemon at each upstream that has any.
+	 * @return the loads
+	 */
+	public List<UpstreamLoad> localLoads() {
+		synchronized (this) {
+			return this.pools.values().stream().flatMap((pool) -> pool.localLoads().stream()).toList();
+		}
+	}
+
 	boolean withdraw(PlacementTicket ticket) {
 		return runLocked(() -> poolOf(ticket).queue().remove(ticket));
 	}
@@ -347,9 +364,9 @@
 		String service = (requestedService != null) ? requestedService : "";
 		PlacementPool pool = this.pools.get(service);
 		if (pool == null) {
-			pool = new PlacementPool(new LeastCostPlacement(this.failureDomain, this.random),
+			pool = new PlacementPool(new LeastCostPlacement(this.failureDomain, this.fleetLoad, this.random),
 					Duration.ofMillis(this.settings.retryWindowMillis()), this.settings.retryShare(),
-					this.settings.minimumRetries(), this.events);
+					this.settings.minimumRetries(), this.fleetLoad, this.events);
 			pool.updateHosts(this.snapshot.hosts(service), this.clock.nanoTime());
 			this.pools.put(service, pool);
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
@@ -5,9 +5,12 @@
 
 import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.internal.peers.load.FleetLoad;
+import org.cyclamenstall.internal.peers.load.UpstreamLoad;
 import org.cyclamenstall.policy.PromptShape;
 import org.cyclamenstall.policy.RequestAttributes;
 import org.cyclamenstall.routes.RequestPriority;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Tracks the load, health and estimated cache content of one upstream, as seen by this
@@ -35,12 +38,18 @@
 
 	private final EventGapMonitor eventGaps = new EventGapMonitor();
 
+	private final FleetLoad fleetLoad;
+
+	private final long upstreamKey;
+
 	private final double[] pendingPrefillByPriority = new double[RequestPriority.LOWEST + 1];
 
 	private long lastDataReceivedAtNanos;
 
-	PlacementUpstream(ListedHost host, long cacheTokens) {
+	PlacementUpstream(ListedHost host, long cacheTokens, FleetLoad fleetLoad) {
 		this.host = host;
+		this.fleetLoad = fleetLoad;
+		this.upstreamKey = UpstreamLoad.keyOf(host.host());
 		this.prefixCache = new PrefixCacheEstimate(cacheTokens);
 	}
 
@@ -79,9 +88,32 @@
 	}
 
 	/**
-	 * Returns the pending prefill that this daemon sent and that the upstream processes
-	 * before a request. Engines prefill prompts by priority; other upstreams process
-	 * requests in order of arrival.
+	 * Returns the number of requests that all daemons have in flight here.
+	 * @return the number, as far as the other daemons have reported it
+	 */
+	int fleetInFlight() {
+		return this.running.size() + this.fleetLoad.running(this.upstreamKey);
+	}
+
+	/**
+	 * Returns the load of this daemon at the upstream.
+	 * @return the load, or {@code null} if there is none
+	 */
+	@Nullable UpstreamLoad localLoad() {
+		if (this.running.isEmpty()) {
+			return null;
+		}
+		int[] pendingTokens = new int[this.pendingPrefillByPriority.length];
+		for (int priority = 0; priority < pendingTokens.length; priority++) {
+			pendingTokens[priority] = (int) Math.max(0, this.pendingPrefillByPriority[priority]);
+		}
+		return new UpstreamLoad(this.upstreamKey, this.running.size(), pendingTokens);
+	}
+
+	/**
+	 * Returns the pending prefill of all daemons that the upstream processes before a
+	 * request. Engines prefill prompts by priority; other upstreams process requests in
+	 * order of arrival.
 	 * @param attributes the request attributes
 	 * @return the pending work in prompt tokens
 	 */
@@ -91,7 +123,7 @@
 		for (int priority = 0; priority <= lowestPriority; priority++) {
 			pending += this.pendingPrefillByPriority[priority];
 		}
-		return pending;
+		return pending + this.fleetLoad.pendingTokens(this.upstreamKey, lowestPriority);
 	}
 
 	private static int priority(RequestAttributes attributes) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
@@ -42,6 +42,9 @@
 	/** The server of the caller port. */
 	public static final String CALLERS = "callers";
 
+	/** Exchange of the load among daemons. */
+	public static final String LOAD_EXCHANGE = "load-exchange";
+
 	private ServiceNames() {
 	}
 
