Reserve engines for chats by learned engine time and by the chats that run

A generated token counted as 15 prompt tokens everywhere; there it takes about 4 (48 slots, 3.4 ms a step, 44 prompt tokens a ms), so up to 8 of 13 engines were reserved for chats and digests had too few; when the share swung back, chats had too few slots (49 to 51 on engines of 48). Ruled out: chats placed on free unreserved engines by their cost. Change: EngineSpeed learns the time of a prompt token and of a generated token of a service from lightly loaded engines; ReservedEngineCalculator counts engine time. Load reports carry the latency-sensitive streams, and the running ones of all daemons set a floor of the reserved engines.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/load/LoadReports.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/load/LoadReports.java
@@ -48,7 +48,7 @@
 	public static UpstreamLoad load(String host, int running, int priority, int pendingTokens) {
 		int[] pendingByPriority = new int[RequestPriority.LOWEST + 1];
 		pendingByPriority[priority] = pendingTokens;
-		return new UpstreamLoad(UpstreamLoad.keyOf(host), running, pendingByPriority);
+		return new UpstreamLoad(UpstreamLoad.keyOf(host), running, 0, pendingByPriority);
 	}
 
 }
--- a/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/UpstreamLoad.java
+++ b/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/UpstreamLoad.java
@@ -25,6 +25,9 @@
 	private static final org.apache.thrift.protocol.TField PENDING_TOKENS_BY_PRIORITY_FIELD_DESC = new org.apache.thrift.protocol.TField(
 			"pendingTokensByPriority", org.apache.thrift.protocol.TType.MAP, (short) 3);
 
+	private static final org.apache.thrift.protocol.TField LATENCY_SENSITIVE_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"latencySensitive", org.apache.thrift.protocol.TType.I32, (short) 4);
+
 	private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UpstreamLoadStandardSchemeFactory();
 
 	private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UpstreamLoadTupleSchemeFactory();
@@ -35,6 +38,8 @@
 
 	private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.Byte, java.lang.Integer> pendingTokensByPriority; // optional
 
+	private int latencySensitive; // optional
+
 	/**
 	 * The set of fields this struct contains, along with convenience methods for finding
 	 * and manipulating them.
@@ -42,7 +47,8 @@
 	public enum _Fields implements org.apache.thrift.TFieldIdEnum {
 
 		UPSTREAM((short) 1, "upstream"), RUNNING((short) 2, "running"),
-		PENDING_TOKENS_BY_PRIORITY((short) 3, "pendingTokensByPriority");
+		PENDING_TOKENS_BY_PRIORITY((short) 3, "pendingTokensByPriority"),
+		LATENCY_SENSITIVE((short) 4, "latencySensitive");
 
 		private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -64,6 +70,8 @@
 					return RUNNING;
 				case 3: // PENDING_TOKENS_BY_PRIORITY
 					return PENDING_TOKENS_BY_PRIORITY;
+				case 4: // LATENCY_SENSITIVE
+					return LATENCY_SENSITIVE;
 				default:
 					return null;
 			}
@@ -114,9 +122,11 @@
 
 	private static final int __RUNNING_ISSET_ID = 1;
 
+	private static final int __LATENCYSENSITIVE_ISSET_ID = 2;
+
 	private byte __isset_bitfield = 0;
 
-	private static final _Fields optionals[] = { _Fields.PENDING_TOKENS_BY_PRIORITY };
+	private static final _Fields optionals[] = { _Fields.PENDING_TOKENS_BY_PRIORITY, _Fields.LATENCY_SENSITIVE };
 
 	public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 	static {
@@ -135,6 +145,10 @@
 				new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP,
 						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BYTE),
 						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+		tmpMap.put(_Fields.LATENCY_SENSITIVE,
+				new org.apache.thrift.meta_data.FieldMetaData("latencySensitive",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
 		metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
 		org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UpstreamLoad.class, metaDataMap);
 	}
@@ -162,6 +176,7 @@
 					other.pendingTokensByPriority);
 			this.pendingTokensByPriority = __this__pendingTokensByPriority;
 		}
+		this.latencySensitive = other.latencySensitive;
 	}
 
 	@Override
@@ -176,6 +191,8 @@
 		setRunningIsSet(false);
 		this.running = 0;
 		this.pendingTokensByPriority = null;
+		setLatencySensitiveIsSet(false);
+		this.latencySensitive = 0;
 	}
 
 	public long getUpstream() {
@@ -270,6 +287,32 @@
 		}
 	}
 
+	public int getLatencySensitive() {
+		return this.latencySensitive;
+	}
+
+	public UpstreamLoad setLatencySensitive(int latencySensitive) {
+		this.latencySensitive = latencySensitive;
+		setLatencySensitiveIsSet(true);
+		return this;
+	}
+
+	public void unsetLatencySensitive() {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LATENCYSENSITIVE_ISSET_ID);
+	}
+
+	/**
+	 * Returns true if field latencySensitive is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetLatencySensitive() {
+		return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LATENCYSENSITIVE_ISSET_ID);
+	}
+
+	public void setLatencySensitiveIsSet(boolean value) {
+		__isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LATENCYSENSITIVE_ISSET_ID, value);
+	}
+
 	@Override
 	public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
 		switch (field) {
@@ -300,6 +343,15 @@
 				}
 				break;
 
+			case LATENCY_SENSITIVE:
+				if (value == null) {
+					unsetLatencySensitive();
+				}
+				else {
+					setLatencySensitive((java.lang.Integer) value);
+				}
+				break;
+
 		}
 	}
 
@@ -316,6 +368,9 @@
 			case PENDING_TOKENS_BY_PRIORITY:
 				return getPendingTokensByPriority();
 
+			case LATENCY_SENSITIVE:
+				return getLatencySensitive();
+
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -337,6 +392,8 @@
 				return isSetRunning();
 			case PENDING_TOKENS_BY_PRIORITY:
 				return isSetPendingTokensByPriority();
+			case LATENCY_SENSITIVE:
+				return isSetLatencySensitive();
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -381,6 +438,15 @@
 				return false;
 		}
 
+		boolean this_present_latencySensitive = true && this.isSetLatencySensitive();
+		boolean that_present_latencySensitive = true && that.isSetLatencySensitive();
+		if (this_present_latencySensitive || that_present_latencySensitive) {
+			if (!(this_present_latencySensitive && that_present_latencySensitive))
+				return false;
+			if (this.latencySensitive != that.latencySensitive)
+				return false;
+		}
+
 		return true;
 	}
 
@@ -396,6 +462,10 @@
 		if (isSetPendingTokensByPriority())
 			hashCode = hashCode * 8191 + pendingTokensByPriority.hashCode();
 
+		hashCode = hashCode * 8191 + ((isSetLatencySensitive()) ? 131071 : 524287);
+		if (isSetLatencySensitive())
+			hashCode = hashCode * 8191 + latencySensitive;
+
 		return hashCode;
 	}
 
@@ -439,6 +509,16 @@
 				return lastComparison;
 			}
 		}
+		lastComparison = java.lang.Boolean.compare(isSetLatencySensitive(), other.isSetLatencySensitive());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetLatencySensitive()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.latencySensitive, other.latencySensitive);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
 		return 0;
 	}
 
@@ -483,6 +563,13 @@
 			}
 			first = false;
 		}
+		if (isSetLatencySensitive()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("latencySensitive:");
+			sb.append(this.latencySensitive);
+			first = false;
+		}
 		sb.append(")");
 		return sb.toString();
 	}
@@ -580,6 +667,15 @@
 							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 						}
 						break;
+					case 4: // LATENCY_SENSITIVE
+						if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+							struct.latencySensitive = iprot.readI32();
+							struct.setLatencySensitiveIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
 					default:
 						org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 				}
@@ -628,6 +724,11 @@
 					oprot.writeFieldEnd();
 				}
 			}
+			if (struct.isSetLatencySensitive()) {
+				oprot.writeFieldBegin(LATENCY_SENSITIVE_FIELD_DESC);
+				oprot.writeI32(struct.latencySensitive);
+				oprot.writeFieldEnd();
+			}
 			oprot.writeFieldStop();
 			oprot.writeStructEnd();
 		}
@@ -655,7 +756,10 @@
 			if (struct.isSetPendingTokensByPriority()) {
 				optionals.set(0);
 			}
-			oprot.writeBitSet(optionals, 1);
+			if (struct.isSetLatencySensitive()) {
+				optionals.set(1);
+			}
+			oprot.writeBitSet(optionals, 2);
 			if (struct.isSetPendingTokensByPriority()) {
 				{
 					oprot.writeI32(struct.pendingTokensByPriority.size());
@@ -666,6 +770,9 @@
 					}
 				}
 			}
+			if (struct.isSetLatencySensitive()) {
+				oprot.writeI32(struct.latencySensitive);
+			}
 		}
 
 		@Override
@@ -676,7 +783,7 @@
 			struct.setUpstreamIsSet(true);
 			struct.running = iprot.readI32();
 			struct.setRunningIsSet(true);
-			java.util.BitSet incoming = iprot.readBitSet(1);
+			java.util.BitSet incoming = iprot.readBitSet(2);
 			if (incoming.get(0)) {
 				{
 					org.apache.thrift.protocol.TMap _map50 = iprot.readMapBegin(org.apache.thrift.protocol.TType.BYTE,
@@ -693,6 +800,10 @@
 				}
 				struct.setPendingTokensByPriorityIsSet(true);
 			}
+			if (incoming.get(1)) {
+				struct.latencySensitive = iprot.readI32();
+				struct.setLatencySensitiveIsSet(true);
+			}
 		}
 
 	}
--- a/org.cyclamenstall.wire/src/main/thrift/peer.thrift
+++ b/org.cyclamenstall.wire/src/main/thrift/peer.thrift
@@ -107,6 +107,8 @@
   2: required i32 running
   // Prompt tokens of requests without a first event, by priority level.
   3: optional map<i8, i32> pendingTokensByPriority
+  // Latency-sensitive streams among the running requests.
+  4: optional i32 latencySensitive
 }
 
 /** Reports the work of a daemon at all upstreams. */
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/FleetLoad.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/FleetLoad.java
@@ -77,6 +77,17 @@
 		return (totals != null) ? totals.running : 0;
 	}
 
+	/**
+	 * Returns the number of latency-sensitive streams that the other daemons have at an
+	 * upstream.
+	 * @param upstreamKey the key of the upstream
+	 * @return the number
+	 */
+	public synchronized int latencySensitive(long upstreamKey) {
+		Totals totals = this.totalsByUpstream.get(upstreamKey);
+		return (totals != null) ? totals.latencySensitive : 0;
+	}
+
 	/**
 	 * Returns the prompt tokens that the other daemons have pending at an upstream.
 	 * @param upstreamKey the key of the upstream
@@ -92,6 +103,7 @@
 		for (UpstreamLoad load : loads) {
 			Totals totals = this.totalsByUpstream.computeIfAbsent(load.upstreamKey(), (key) -> new Totals());
 			totals.running += sign * load.running();
+			totals.latencySensitive += sign * load.latencySensitive();
 			for (int priority = 0; priority < load.pendingTokens().length; priority++) {
 				totals.pendingTokens[priority] += (long) sign * load.pendingTokens()[priority];
 			}
@@ -117,6 +129,8 @@
 
 		private int running;
 
+		private int latencySensitive;
+
 		private int reports;
 
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReportCodec.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReportCodec.java
@@ -128,6 +128,9 @@
 		}
 		org.cyclamenstall.wire.UpstreamLoad message = new org.cyclamenstall.wire.UpstreamLoad(load.upstreamKey(),
 				load.running());
+		if (load.latencySensitive() > 0) {
+			message.setLatencySensitive(load.latencySensitive());
+		}
 		if (!pendingTokens.isEmpty()) {
 			message.setPendingTokensByPriority(pendingTokens);
 		}
@@ -142,7 +145,8 @@
 						tokens) -> pendingTokens[Math.max(0, Math.min(RequestPriority.LOWEST, priority))] += Math.max(0,
 								tokens));
 		}
-		return new UpstreamLoad(message.getUpstream(), Math.max(0, message.getRunning()), pendingTokens);
+		return new UpstreamLoad(message.getUpstream(), Math.max(0, message.getRunning()),
+				Math.max(0, message.getLatencySensitive()), pendingTokens);
 	}
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/UpstreamLoad.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/UpstreamLoad.java
@@ -6,10 +6,11 @@
  *
  * @param upstreamKey the key of the upstream, see {@link #keyOf}
  * @param running the number of requests sent and not ended
+ * @param latencySensitive the number of latency-sensitive streams among them
  * @param pendingTokens the prompt tokens of the requests without a first event, indexed
  * by priority level
  */
-public record UpstreamLoad(long upstreamKey, int running, int[] pendingTokens) {
+public record UpstreamLoad(long upstreamKey, int running, int latencySensitive, int[] pendingTokens) {
 
 	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
@@ -107,9 +107,11 @@
 	/**
 	 * Records a stream event and its gap to the previous event.
 	 * @param nowNanos the time on the monotonic clock
+	 * @param engineSpeed learns from the gap
 	 */
-	void recordEvent(long nowNanos) {
+	void recordEvent(long nowNanos, EngineSpeed engineSpeed) {
 		if (this.receivedEvents > 0) {
+			engineSpeed.recordGap(nowNanos - this.lastEventAtNanos, attributes().options().tokensPerEvent());
 			double allowedNanos = EventGapLimit.allowedGapNanos(attributes().options(), this.receivedEvents,
 					this.ticket.remainingNanos(nowNanos));
 			this.upstream.eventGaps().recordGap(nowNanos - this.lastEventAtNanos, allowedNanos, nowNanos);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -52,6 +52,8 @@
 
 	private final ReservedEngineCalculator reservedEngineCalculator = new ReservedEngineCalculator();
 
+	private final EngineSpeed engineSpeed = new EngineSpeed();
+
 	private long partitionedAtNanos;
 
 	private final WindowedRetryBudget retryBudget;
@@ -91,21 +93,34 @@
 	void recordRequest(RequestAttributes attributes, long nowNanos) {
 		this.retryBudget.recordRequest(nowNanos);
 		if (attributes.promptTokens() > 0) {
-			this.reservedEngineCalculator.recordRequest(attributes, nowNanos);
+			this.reservedEngineCalculator.recordRequest(attributes,
+					this.engineSpeed.engineNanos(attributes.options().prompt(), slots()), nowNanos);
 		}
 		if (nowNanos - this.partitionedAtNanos > PARTITION_INTERVAL_NANOS) {
 			updatePartition(nowNanos);
 		}
 	}
 
+	private int slots() {
+		return this.upstreamsByName.values().stream().mapToInt((upstream) -> upstream.host().slots()).max().orElse(0);
+	}
+
+	EngineSpeed engineSpeed() {
+		return this.engineSpeed;
+	}
+
 	private void updatePartition(long nowNanos) {
 		this.partitionedAtNanos = nowNanos;
 		List<PlacementUpstream> live = this.upstreamsByName.values()
 			.stream()
 			.filter(PlacementUpstream::isLive)
 			.toList();
+		double occupiedEngines = live.stream()
+			.filter((upstream) -> upstream.host().slots() > 0)
+			.mapToDouble((upstream) -> upstream.fleetLatencySensitive() / (double) upstream.host().slots())
+			.sum();
 		this.partition = new EnginePartition(live, this.reservedEngineCalculator.reservedEngineCount(live.size(),
-				this.partition.reservedCount(), nowNanos));
+				this.partition.reservedCount(), occupiedEngines, nowNanos));
 	}
 
 	/**
@@ -206,6 +221,7 @@
 				.record(durationNanos / firstEventAverage.valueOr(durationNanos), nowNanos);
 		}
 		firstEventAverage.add(durationNanos);
+		this.engineSpeed.recordFirstEvent(durationNanos, grant.pendingPrefill());
 		grant.placementUpstream().recordDataReceived(nowNanos);
 		grant.placementUpstream().recordPrefillEnd(grant);
 		Duration objective = grant.attributes().options().latencyObjective();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -312,7 +312,7 @@
 
 	void recordEvent(PlacementGrant grant) {
 		synchronized (this) {
-			grant.recordEvent(this.clock.nanoTime());
+			grant.recordEvent(this.clock.nanoTime(), poolOf(grant.ticket()).engineSpeed());
 		}
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
@@ -44,6 +44,8 @@
 
 	private final double[] pendingPrefillByPriority = new double[RequestPriority.LOWEST + 1];
 
+	private int latencySensitive;
+
 	private long lastDataReceivedAtNanos;
 
 	PlacementUpstream(ListedHost host, long cacheTokens, FleetLoad fleetLoad) {
@@ -95,6 +97,15 @@
 		return this.running.size() + this.fleetLoad.running(this.upstreamKey);
 	}
 
+	/**
+	 * Returns the number of latency-sensitive streams that all daemons have in flight
+	 * here.
+	 * @return the number, as far as the other daemons have reported it
+	 */
+	int fleetLatencySensitive() {
+		return this.latencySensitive + this.fleetLoad.latencySensitive(this.upstreamKey);
+	}
+
 	/**
 	 * Returns the load of this daemon at the upstream.
 	 * @return the load, or {@code null} if there is none
@@ -107,7 +118,7 @@
 		for (int priority = 0; priority < pendingTokens.length; priority++) {
 			pendingTokens[priority] = (int) Math.max(0, this.pendingPrefillByPriority[priority]);
 		}
-		return new UpstreamLoad(this.upstreamKey, this.running.size(), pendingTokens);
+		return new UpstreamLoad(this.upstreamKey, this.running.size(), this.latencySensitive, pendingTokens);
 	}
 
 	/**
@@ -185,6 +196,7 @@
 			this.lastDataReceivedAtNanos = grant.startedAtNanos();
 		}
 		this.running.add(grant);
+		this.latencySensitive += EnginePartition.isLatencySensitive(grant.attributes()) ? 1 : 0;
 		this.pendingPrefillByPriority[priority(grant.attributes())] += grant.pendingPrefill();
 		this.prefixCache.recordPrompt(grant.attributes().options().prompt().parts());
 	}
@@ -198,7 +210,9 @@
 	}
 
 	void recordEnd(PlacementGrant grant) {
-		this.running.remove(grant);
+		if (this.running.remove(grant)) {
+			this.latencySensitive -= EnginePartition.isLatencySensitive(grant.attributes()) ? 1 : 0;
+		}
 		recordPrefillEnd(grant);
 	}
 
