Weigh pending prompts against the latency objective

Ruled out: the pending work window alone: it holds work back, the cost moves it. Change: pending prompts cost little while the first event comes well before the objective. The pending work window is what an engine reads in half of the objective, by its learned speed, instead of 24,000 tokens everywhere.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EngineSpeed.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EngineSpeed.java
@@ -64,6 +64,15 @@
 				+ outputTokens * this.nanosPerOutputToken / ((slots > 0) ? slots : DEFAULT_SLOTS);
 	}
 
+	/**
+	 * Returns how many prompt tokens an idle engine reads in a time.
+	 * @param nanos the time
+	 * @return the number of tokens
+	 */
+	double promptTokensIn(double nanos) {
+		return nanos / this.nanosPerPromptToken;
+	}
+
 	private static double follow(double estimate, double sample) {
 		return (sample < estimate) ? estimate + (sample - estimate) * FAST_SAMPLE_WEIGHT
 				: Math.min(sample, estimate * SLOW_SAMPLE_GROWTH);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/LeastCostPlacement.java
@@ -56,6 +56,9 @@
 	 */
 	private static final double MAXIMUM_EXCESS_TOKENS = 15_000;
 
+	/** Share of the latency objective within which a first event is in good time. */
+	private static final double COMFORTABLE_OBJECTIVE_SHARE = 0.5;
+
 	/** Cost of an upstream whose recent attempts all failed. */
 	private static final double FAILURE_SHARE_TOKENS = 40_000;
 
@@ -81,13 +84,13 @@
 
 	@Override
 	public @Nullable PlacementUpstream choose(List<PlacementUpstream> upstreams, Predicate<PlacementUpstream> hasRoom,
-			EnginePartition partition, RequestAttributes attributes, long nowNanos) {
+			EnginePartition partition, EngineSpeed engineSpeed, RequestAttributes attributes, long nowNanos) {
 		PrefixAffinity affinity = PrefixAffinity.of(upstreams, partition, attributes);
 		PlacementUpstream best = null;
 		double bestCost = Double.MAX_VALUE;
 		double lowestCost = Double.MAX_VALUE;
 		for (PlacementUpstream candidate : upstreams) {
-			double cost = cost(candidate, partition, attributes, affinity, nowNanos);
+			double cost = cost(candidate, partition, engineSpeed, attributes, affinity, nowNanos);
 			lowestCost = Math.min(lowestCost, cost);
 			if (cost < bestCost && hasRoom.test(candidate)) {
 				best = candidate;
@@ -97,25 +100,39 @@
 		return (bestCost <= lowestCost + MAXIMUM_EXCESS_TOKENS * urgency(attributes)) ? best : null;
 	}
 
-	private double cost(PlacementUpstream candidate, EnginePartition partition, RequestAttributes attributes,
-			PrefixAffinity affinity, long nowNanos) {
-		double cost = (attributes.promptTokens() > 0) ? engineCost(candidate, partition, attributes, affinity)
-				: plainCost(candidate);
+	private double cost(PlacementUpstream candidate, EnginePartition partition, EngineSpeed engineSpeed,
+			RequestAttributes attributes, PrefixAffinity affinity, long nowNanos) {
+		double cost = (attributes.promptTokens() > 0)
+				? engineCost(candidate, partition, engineSpeed, attributes, affinity) : plainCost(candidate);
 		return cost * candidate.relativeLatency().factor(nowNanos) + healthPenalty(candidate, nowNanos)
 				+ this.random.nextDouble() * TIE_BREAK_TOKENS;
 	}
 
-	private double engineCost(PlacementUpstream upstream, EnginePartition partition, RequestAttributes attributes,
-			PrefixAffinity affinity) {
+	private double engineCost(PlacementUpstream upstream, EnginePartition partition, EngineSpeed engineSpeed,
+			RequestAttributes attributes, PrefixAffinity affinity) {
 		double uncached = Math.min(upstream.uncachedTokens(attributes.options().prompt()),
 				attributes.promptTokens() - affinity.cachedTokens(upstream));
-		double pendingFactor = this.fleetLoad.isKnown() ? 1 : UNKNOWN_LOAD_FACTOR;
-		double cost = uncached + upstream.pendingPrefillAhead(attributes) * pendingFactor * urgency(attributes)
-				+ upstream.fleetInFlight() * RUNNING_REQUEST_TOKENS + beyondSlotsCost(upstream);
+		double cost = uncached + pendingPrefillCost(upstream, engineSpeed, attributes, uncached)
+				+ upstream.fleetInFlight() * RUNNING_REQUEST_TOKENS + beyondSlotsCost(upstream) * urgency(attributes);
 		cost += partitionPenalty(upstream, partition, attributes);
 		return EnginePartition.isLongPrompt(attributes) ? cost : cost + crossDomainCost(upstream);
 	}
 
+	// If the load of all daemons is known, the prompts ahead of a request cost little
+	// while it still gets its first event well before its objective, so that a session
+	// stays where its prefix is cached.
+	private double pendingPrefillCost(PlacementUpstream upstream, EngineSpeed engineSpeed, RequestAttributes attributes,
+			double uncached) {
+		double pending = upstream.pendingPrefillAhead(attributes);
+		Duration objective = attributes.options().latencyObjective();
+		if (!this.fleetLoad.isKnown() || objective == null) {
+			return pending * UNKNOWN_LOAD_FACTOR * urgency(attributes);
+		}
+		double tokensInTime = engineSpeed.promptTokensIn(objective.toNanos() * COMFORTABLE_OBJECTIVE_SHARE);
+		double ratio = Math.min(1, (pending + uncached) / tokensInTime);
+		return pending * urgency(attributes) * ratio * ratio;
+	}
+
 	private static double urgency(RequestAttributes attributes) {
 		Duration objective = attributes.options().latencyObjective();
 		return (objective != null) ? Math.min(1, URGENT_OBJECTIVE_NANOS / objective.toNanos()) : 1;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PendingWorkWindow.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PendingWorkWindow.java
@@ -12,11 +12,11 @@
 	/** Ratio to record for an attempt that timed out or lost its connection. */
 	static final double NOT_RECEIVED_RATIO = Double.MAX_VALUE;
 
-	private static final double INITIAL_TOKENS = 24_000;
+	private static final double INITIAL_SCALE = 1;
 
-	private static final double MINIMUM_TOKENS = 3_000;
+	private static final double MINIMUM_SCALE = 0.125;
 
-	private static final double MAXIMUM_TOKENS = 80_000;
+	private static final double MAXIMUM_SCALE = 3;
 
 	/** Share of the objective above which a first event counts as late. */
 	private static final double LATE_RATIO = 0.6;
@@ -26,11 +26,11 @@
 
 	private static final double SHRINK_FACTOR = 0.85;
 
-	private static final double GROWTH_TOKENS = 800;
+	private static final double GROWTH = 0.035;
 
 	private static final long SHRINK_INTERVAL_NANOS = 100_000_000L;
 
-	private double sizeTokens = INITIAL_TOKENS;
+	private double scale = INITIAL_SCALE;
 
 	private long lastShrunkAtNanos = Long.MIN_VALUE / 2;
 
@@ -38,10 +38,11 @@
 	 * Returns whether more work fits into the window.
 	 * @param pending the pending work
 	 * @param additional the work to add
+	 * @param referenceTokens the size of a window that was neither shrunk nor grown
 	 * @return {@code true} if it fits, or if nothing is pending
 	 */
-	boolean fits(double pending, double additional) {
-		return pending <= 0 || pending + additional <= this.sizeTokens;
+	boolean fits(double pending, double additional, double referenceTokens) {
+		return pending <= 0 || pending + additional <= sizeTokens(referenceTokens);
 	}
 
 	/**
@@ -52,16 +53,16 @@
 	 */
 	void recordFirstEvent(double objectiveRatio, long nowNanos) {
 		if (objectiveRatio < EARLY_RATIO) {
-			this.sizeTokens = Math.min(MAXIMUM_TOKENS, this.sizeTokens + GROWTH_TOKENS);
+			this.scale = Math.min(MAXIMUM_SCALE, this.scale + GROWTH);
 		}
 		else if (objectiveRatio > LATE_RATIO && nowNanos - this.lastShrunkAtNanos > SHRINK_INTERVAL_NANOS) {
-			this.sizeTokens = Math.max(MINIMUM_TOKENS, this.sizeTokens * SHRINK_FACTOR);
+			this.scale = Math.max(MINIMUM_SCALE, this.scale * SHRINK_FACTOR);
 			this.lastShrunkAtNanos = nowNanos;
 		}
 	}
 
-	double sizeTokens() {
-		return this.sizeTokens;
+	double sizeTokens(double referenceTokens) {
+		return this.scale * referenceTokens;
 	}
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -35,6 +35,12 @@
 
 	private static final double AVERAGE_WEIGHT = 0.05;
 
+	private static final double DEFAULT_WINDOW_TOKENS = 24_000;
+
+	private static final double MINIMUM_WINDOW_TOKENS = 8_000;
+
+	private static final double WINDOW_OBJECTIVE_SHARE = 0.5;
+
 	/** Assumed prefix cache capacity of an engine. */
 	private static final long DEFAULT_CACHE_TOKENS = 500_000;
 
@@ -169,7 +175,24 @@
 	 * @return the upstream, or {@code null} if the request must wait
 	 */
 	@Nullable PlacementUpstream chooseForFirstAttempt(PlacementTicket ticket, long nowNanos) {
-		return choose(ticket, (upstream) -> upstream.hasRoom(ticket, nowNanos), nowNanos);
+		double referenceTokens = windowReferenceTokens(ticket);
+		return choose(ticket, (upstream) -> upstream.hasRoom(ticket, referenceTokens, nowNanos), nowNanos);
+	}
+
+	/**
+	 * Returns the work that may be pending ahead of a request at an upstream whose
+	 * responses are neither early nor late: what an engine reads in a share of the
+	 * latency objective, if the load of all daemons is known.
+	 * @param ticket the request
+	 * @return the work in prompt tokens
+	 */
+	private double windowReferenceTokens(PlacementTicket ticket) {
+		Duration objective = ticket.attributes().options().latencyObjective();
+		if (ticket.attributes().promptTokens() == 0 || objective == null || !this.fleetLoad.isKnown()) {
+			return DEFAULT_WINDOW_TOKENS;
+		}
+		return Math.max(MINIMUM_WINDOW_TOKENS,
+				this.engineSpeed.promptTokensIn(objective.toNanos() * WINDOW_OBJECTIVE_SHARE));
 	}
 
 	private @Nullable PlacementUpstream choose(PlacementTicket ticket, Predicate<PlacementUpstream> hasRoom,
@@ -186,8 +209,8 @@
 				healthy.add(upstream);
 			}
 		}
-		return this.strategy.choose(healthy.isEmpty() ? untried : healthy, hasRoom, this.partition, ticket.attributes(),
-				nowNanos);
+		return this.strategy.choose(healthy.isEmpty() ? untried : healthy, hasRoom, this.partition, this.engineSpeed,
+				ticket.attributes(), nowNanos);
 	}
 
 	void recordStart(PlacementGrant grant, long nowNanos) {
@@ -198,15 +221,17 @@
 
 	/**
 	 * Estimates how long a request waits in the queue behind an amount of work.
+	 * @param ticket the request
 	 * @param work the work in prompt tokens
 	 * @param nowNanos the time on the monotonic clock
 	 * @return the time in nanoseconds
 	 */
-	double waitNanos(double work, long nowNanos) {
+	double waitNanos(PlacementTicket ticket, double work, long nowNanos) {
+		double referenceTokens = windowReferenceTokens(ticket);
 		double totalWindow = this.upstreamsByName.values()
 			.stream()
 			.filter(PlacementUpstream::isLive)
-			.mapToDouble((upstream) -> upstream.window().sizeTokens())
+			.mapToDouble((upstream) -> upstream.window().sizeTokens(referenceTokens))
 			.sum();
 		double windowWaitNanos = (totalWindow > 0) ? work / totalWindow * WINDOW_DRAIN_NANOS : Double.MAX_VALUE;
 		return Math.min(windowWaitNanos, this.dispatchRate.nanosFor(work, nowNanos));
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -149,7 +149,7 @@
 		}
 		pool.recordRequest(ticket.attributes(), nowNanos);
 		pool.queue().add(ticket);
-		double waitNanos = pool.waitNanos(pool.queue().workTokensAhead(ticket), nowNanos);
+		double waitNanos = pool.waitNanos(ticket, pool.queue().workTokensAhead(ticket), nowNanos);
 		if (this.overloadPolicy.shouldRefuse(waitNanos, ticket.remainingNanos(nowNanos), ticket.timeoutNanos())) {
 			pool.queue().remove(ticket);
 			refuseUpstreamsFull(ticket, waitNanos, nowNanos);
@@ -228,7 +228,7 @@
 	private void refuseLateRequests(PlacementPool pool, long nowNanos) {
 		double workAhead = 0;
 		for (PlacementTicket ticket : pool.queue().all()) {
-			double waitNanos = pool.waitNanos(workAhead, nowNanos);
+			double waitNanos = pool.waitNanos(ticket, workAhead, nowNanos);
 			if (this.overloadPolicy.shouldRefuse(waitNanos, ticket.remainingNanos(nowNanos), ticket.timeoutNanos())) {
 				pool.queue().remove(ticket);
 				refuseUpstreamsFull(ticket, waitNanos, nowNanos);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
@@ -150,11 +150,12 @@
 	 * window. A long prompt is also held back while the event gaps of running streams are
 	 * too long.
 	 * @param ticket the request
+	 * @param referenceTokens the size of a window that was neither shrunk nor grown
 	 * @param nowNanos the time on the monotonic clock
 	 * @return {@code true} if it may be sent now
 	 */
-	boolean hasRoom(PlacementTicket ticket, long nowNanos) {
-		return this.window.fits(pendingPrefillAhead(ticket.attributes()), uncachedWorkTokens(ticket))
+	boolean hasRoom(PlacementTicket ticket, double referenceTokens, long nowNanos) {
+		return this.window.fits(pendingPrefillAhead(ticket.attributes()), uncachedWorkTokens(ticket), referenceTokens)
 				&& !(EnginePartition.isLongPrompt(ticket.attributes()) && this.eventGaps.isOverloaded(nowNanos));
 	}
 
