Refuse a queued request when its caller would be gone before the answer

Cause: with pending work bounded, digests wait in the daemon. The wait was estimated as if the windows belonged to this daemon alone. Ruled out: requests lost in the queue: each was still dispatchable. Change: ResponseTimes learns how long a request of an entry takes to its first event and to its end; a queued request is refused as soon as its expected wait passes the latest time at which it can be dispatched. With the load of other daemons known, the wait is estimated by this daemon's own rate of dispatches.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
@@ -184,8 +184,8 @@
 			Duration responseTimeout = responseTimeout(options);
 			String service = options.selectService(RoutedCallerProtocol.this.random.nextDouble());
 			RequestOptions requestOptions = new RequestOptions(service, priority, options.maximumAttempts(),
-					options.latencyObjective(), options.eventGapObjective(), responseTimeout, options.resumable(),
-					tokensPerEvent(service), this.headers.prompt());
+					options.latencyObjective(), options.eventGapObjective(), options.firstEventTimeout(),
+					responseTimeout, options.resumable(), tokensPerEvent(service), this.headers.prompt());
 			CatalogueEntry accountEntry = (this.account != null) ? this.account.entry() : ANONYMOUS_ACCOUNT;
 			RequestAttributes attributes = new RequestAttributes(this.requestId, this.route.entry(), accountEntry,
 					this.route.entry().tier(), this.arrivalNanos, options.idempotent(), options.streamed(), null,
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/OverloadPolicy.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/OverloadPolicy.java
@@ -13,9 +13,6 @@
  */
 final class OverloadPolicy {
 
-	/** Share of its timeout that a request must have left when it is dispatched. */
-	private static final double MINIMUM_REMAINING_SHARE = 0.25;
-
 	private static final long MINIMUM_RETRY_DELAY_NANOS = 150_000_000L;
 
 	private static final double JITTER_SHARE = 0.5;
@@ -34,12 +31,12 @@
 	/**
 	 * Returns whether to refuse a queued request.
 	 * @param expectedWaitNanos the expected remaining time in the queue
-	 * @param remainingNanos the time until its caller times out
-	 * @param timeoutNanos the timeout of the request at its arrival
-	 * @return {@code true} if too little time would remain after the wait
+	 * @param remainingDispatchNanos the remaining time in which it can be dispatched and
+	 * still be answered
+	 * @return {@code true} if it is expected to wait longer than that
 	 */
-	boolean shouldRefuse(double expectedWaitNanos, double remainingNanos, double timeoutNanos) {
-		return remainingNanos - expectedWaitNanos < MINIMUM_REMAINING_SHARE * timeoutNanos;
+	boolean shouldRefuse(double expectedWaitNanos, double remainingDispatchNanos) {
+		return expectedWaitNanos > remainingDispatchNanos;
 	}
 
 	/**
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,8 +32,6 @@
 	/** Minimum time between two updates of the engine partition by new requests. */
 	private static final long PARTITION_INTERVAL_NANOS = 250_000_000L;
 
-	private static final double AVERAGE_WEIGHT = 0.05;
-
 	private static final double DEFAULT_WINDOW_TOKENS = 24_000;
 
 	private static final double MINIMUM_WINDOW_TOKENS = 8_000;
@@ -46,7 +43,7 @@
 
 	private final Map<String, PlacementUpstream> upstreamsByName = new LinkedHashMap<>();
 
-	private final Map<String, MovingAverage> firstEventAverages = new HashMap<>();
+	private final ResponseTimes responseTimes = new ResponseTimes();
 
 	private final WaitingRequests queue = new WaitingRequests();
 
@@ -220,7 +217,9 @@
 	}
 
 	/**
-	 * Estimates how long a request waits in the queue behind an amount of work.
+	 * Estimates how long a request waits in the queue behind an amount of work. The
+	 * windows are shared with the other daemons, so if their load is known, only the rate
+	 * at which this daemon dispatches counts.
 	 * @param ticket the request
 	 * @param work the work in prompt tokens
 	 * @param nowNanos the time on the monotonic clock
@@ -234,11 +233,23 @@
 			.mapToDouble((upstream) -> upstream.window().sizeTokens(referenceTokens))
 			.sum();
 		double windowWaitNanos = (totalWindow > 0) ? work / totalWindow * WINDOW_DRAIN_NANOS : Double.MAX_VALUE;
-		return Math.min(windowWaitNanos, this.dispatchRate.nanosFor(work, nowNanos));
+		double dispatchNanos = this.dispatchRate.nanosFor(work, nowNanos);
+		return this.fleetLoad.isKnown() ? dispatchNanos : Math.min(windowWaitNanos, dispatchNanos);
+	}
+
+	/**
+	 * Returns the remaining time in which a queued request can be dispatched and still be
+	 * answered.
+	 * @param ticket the request
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the time in nanoseconds, negative if it has passed
+	 */
+	double remainingDispatchNanos(PlacementTicket ticket, long nowNanos) {
+		return this.responseTimes.latestDispatchNanos(ticket) - nowNanos;
 	}
 
 	void recordFirstEvent(PlacementGrant grant, long nowNanos) {
-		MovingAverage firstEventAverage = firstEventAverage(grant.attributes());
+		MovingAverage firstEventAverage = this.responseTimes.firstEvent(grant.attributes());
 		long durationNanos = nowNanos - grant.startedAtNanos();
 		if (firstEventAverage.samples() > 0) {
 			grant.placementUpstream()
@@ -258,6 +269,9 @@
 	void recordEnd(PlacementGrant grant, AttemptResult result, long nowNanos) {
 		PlacementUpstream upstream = grant.placementUpstream();
 		upstream.recordEnd(grant);
+		if (result == AttemptResult.COMPLETED) {
+			this.responseTimes.completion(grant.attributes()).add(nowNanos - grant.startedAtNanos());
+		}
 		boolean wasEjected = upstream.health().isEjected(nowNanos);
 		boolean wasUnhealthy = wasEjected || upstream.health().isHalfOpen(nowNanos);
 		updateHealth(upstream, result, nowNanos);
@@ -291,9 +305,4 @@
 		}
 	}
 
-	private MovingAverage firstEventAverage(RequestAttributes attributes) {
-		return this.firstEventAverages.computeIfAbsent(attributes.entry().name(),
-				(name) -> new MovingAverage(AVERAGE_WEIGHT));
-	}
-
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
@@ -124,6 +124,15 @@
 		return ((timeout != null) ? timeout : DEFAULT_TIMEOUT).toNanos();
 	}
 
+	/**
+	 * Returns how long the caller waits for the first event, counted from the arrival.
+	 * @return the time in nanoseconds, at most the timeout of the request
+	 */
+	long firstEventTimeoutNanos() {
+		Duration timeout = this.attributes.options().firstEventTimeout();
+		return (timeout != null) ? Math.min(timeout.toNanos(), timeoutNanos()) : timeoutNanos();
+	}
+
 	long remainingNanos(long nowNanos) {
 		return this.attributes.arrivalNanos() + timeoutNanos() - nowNanos;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RequestOptions.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RequestOptions.java
@@ -18,6 +18,8 @@
  * the time to the first event, or {@code null} for none
  * @param eventGapObjective the service level objective for the interval between two
  * events of a stream, or {@code null} for none
+ * @param firstEventTimeout the time that the caller waits for the first event of a
+ * stream, or {@code null} for no limit of its own
  * @param responseTimeout the maximum time from the arrival to the complete response, or
  * {@code null} for none
  * @param resumable whether an interrupted stream may be resumed at another upstream
@@ -25,8 +27,8 @@
  * @param prompt the size of the request and the parts of its prompt
  */
 public record RequestOptions(@Nullable String service, int priority, int maximumAttempts,
-		@Nullable Duration latencyObjective, @Nullable Duration eventGapObjective, @Nullable Duration responseTimeout,
-		boolean resumable, int tokensPerEvent, PromptShape prompt) {
+		@Nullable Duration latencyObjective, @Nullable Duration eventGapObjective, @Nullable Duration firstEventTimeout,
+		@Nullable Duration responseTimeout, boolean resumable, int tokensPerEvent, PromptShape prompt) {
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -39,7 +41,7 @@
 	 */
 	public static RequestOptions of(CatalogueEntry entry, Tier tier, PromptShape prompt) {
 		return new RequestOptions(entry.upstreams(), tier.ordinal(), Integer.MAX_VALUE,
-				duration(entry.firstTokenSeconds()), duration(entry.tokenGapSeconds()),
+				duration(entry.firstTokenSeconds()), duration(entry.tokenGapSeconds()), null,
 				duration(entry.effectiveLimits().answerSeconds()), Boolean.TRUE.equals(entry.resumable()), 1, prompt);
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/routes/RouteOptions.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/routes/RouteOptions.java
@@ -22,13 +22,15 @@
  * event
  * @param eventGapObjective the objective for the longest gap between two events of a
  * stream, or {@code null} for none
+ * @param firstEventTimeout the time that callers wait for the first event of a stream, or
+ * {@code null} for no limit of its own
  * @param responseTimeout the maximum time until the response is complete
  * @param services the upstream services with their weights; at least one
  */
 public record RouteOptions(String virtualHost, String pathPrefix, boolean idempotent, boolean streamed,
 		boolean resumable, boolean publicAccess, boolean cacheAffinity, int priority, int maximumAttempts,
-		Duration latencyObjective, @Nullable Duration eventGapObjective, Duration responseTimeout,
-		List<WeightedService> services) {
+		Duration latencyObjective, @Nullable Duration eventGapObjective, @Nullable Duration firstEventTimeout,
+		Duration responseTimeout, List<WeightedService> services) {
 
 	/**
 	 * Selects an upstream service at random according to the weights.
