Make the test of the host list's lock call the host list

Cause: HostListLockTests checked nothing: the catalogue of its fixture was empty and never changed, so watch was never called.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/PolicyFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/policy/PolicyFixture.java
@@ -12,6 +12,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.cyclamenstall.catalogue.Catalogue;
 import org.cyclamenstall.catalogue.CatalogueEntry;
+import org.cyclamenstall.catalogue.CatalogueRecord;
 import org.cyclamenstall.catalogue.CatalogueView;
 import org.cyclamenstall.catalogue.EntryKind;
 import org.cyclamenstall.catalogue.Limits;
@@ -47,6 +48,8 @@
 
 	final List<Consumer<HostSnapshot>> hostListeners = new ArrayList<>();
 
+	private final FixtureCatalogue catalogue = new FixtureCatalogue();
+
 	final PolicyTrafficController controller;
 
 	Runnable onWatch = () -> {
@@ -58,9 +61,8 @@
 		for (int number = 1; number <= upstreams; number++) {
 			this.hosts.add(host(number, HostState.LIVE));
 		}
-		this.controller = TrafficControllers.create(settings, new EmptyCatalogue(), new FixtureHostList(),
-				"ro-central-a", this.nowNanos::get, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.metrics,
-				this.decisions::add);
+		this.controller = TrafficControllers.create(settings, this.catalogue, new FixtureHostList(), "ro-central-a",
+				this.nowNanos::get, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.metrics, this.decisions::add);
 	}
 
 	static PolicySettings settings(String scheduling, int slotsPerUpstream, int queueLength) {
@@ -107,6 +109,15 @@
 		this.controller.tick(this.nowNanos.get());
 	}
 
+	/**
+	 * Adds the entry of the model to the catalogue, which was empty.
+	 */
+	void publishModel() {
+		CatalogueEntry entry = model(Limits.NONE);
+		this.catalogue.publish(new Catalogue(
+				Map.of(entry.name(), new CatalogueRecord(entry.name(), 1, "edit", "operator", 0, entry))));
+	}
+
 	void publishHosts() {
 		HostSnapshot snapshot = snapshot();
 		this.hostListeners.forEach((listener) -> listener.accept(snapshot));
@@ -135,15 +146,25 @@
 
 	}
 
-	private static final class EmptyCatalogue implements CatalogueView {
+	private static final class FixtureCatalogue implements CatalogueView {
+
+		private final List<Consumer<Catalogue>> listeners = new ArrayList<>();
+
+		private Catalogue catalogue = Catalogue.EMPTY;
+
+		void publish(Catalogue newCatalogue) {
+			this.catalogue = newCatalogue;
+			this.listeners.forEach((listener) -> listener.accept(newCatalogue));
+		}
 
 		@Override
 		public Catalogue current() {
-			return Catalogue.EMPTY;
+			return this.catalogue;
 		}
 
 		@Override
 		public void addListener(Consumer<Catalogue> listener) {
+			this.listeners.add(listener);
 		}
 
 	}
