Limit the headers of responses from upstreams and from the store

The client's parser gathers a header or a status line without a limit; with the heap of the deploy file one such upstream ends the daemon and all its requests. Ruled out: endless bodies: bounded before (8 MiB, an event 1 MiB), and closed at once since connections are aborted. Change: LimitedHttpClient inserts ResponseHeadLimit below the client's parser: 64 KiB until the headers are complete, also for bytes while nothing is expected. Connections to upstreams and to the store use it. The client has no other place for it than the I/O thread that opens the connection. Test: GatewayTests WhenAResponseNeverEnds, an endless header, status line and body; the first two failed before (64 MB were accepted). Conclusion: the connection is closed after 64 KiB. Chunk extensions, trailers and peers' answers without end are not tested.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayTests.java
@@ -264,6 +264,38 @@
 
 	}
 
+	@Nested
+	class WhenAResponseNeverEnds {
+
+		private static final int MAXIMUM_BYTES = 64 * 1_048_576;
+
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 200 OK\r\nX-Endless: ", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\n\r\n" })
+		void theConnectionIsClosed(String start) throws Exception {
+			CountDownLatch writeFailed = new CountDownLatch(1);
+			ScriptedUpstream.Script endless = (request, attempt, output) -> {
+				write(output, start.replace("\r\n\r\n",
+						"\r\nX-Request-Id: " + attempt + "\r\nContent-Type: application/json\r\n\r\n"));
+				try {
+					byte[] bytes = "a".repeat(65_536).getBytes(StandardCharsets.US_ASCII);
+					for (int sent = 0; sent < MAXIMUM_BYTES; sent += bytes.length) {
+						output.write(bytes);
+					}
+				}
+				catch (IOException ex) {
+					writeFailed.countDown();
+					throw ex;
+				}
+			};
+			try (GatewayFixture gateway = GatewayFixture.withUpstreams(endless, buffered("mine"))) {
+				gateway.chat(GatewayFixture.BUFFERED_CHAT_BODY);
+				assertThat(writeFailed.await(1, TimeUnit.MINUTES), is(true));
+				assertThat(gateway.controller.attemptResults().get(0), not(AttemptResult.COMPLETED));
+			}
+		}
+
+	}
+
 	@Nested
 	class WhenTheCallerDisconnects {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
@@ -17,7 +17,6 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -116,9 +115,8 @@
 		CallProgress progress = new CallProgress();
 		URI server = URI.create("http://" + hostAndPort());
 		try {
-			UndertowClient.getInstance()
-				.connect(new Callback<>((connection) -> send(connection, call, progress), progress), server,
-						this.worker, this.buffers, OptionMap.EMPTY);
+			LimitedHttpClient.connect(new Callback<>((connection) -> send(connection, call, progress), progress),
+					server, this.worker.getIoThread(), this.buffers, OptionMap.EMPTY);
 		}
 		catch (RuntimeException ex) {
 			progress.fail(ex);
@@ -133,6 +131,7 @@
 		}
 		connection.getIoThread().execute(() -> {
 			try {
+				ResponseHeadLimit.onRequest(connection);
 				connection.sendRequest(newRequest(call),
 						new Callback<>((exchange) -> onSent(exchange, call, progress), progress));
 			}
@@ -153,6 +152,7 @@
 	}
 
 	private void readResponse(ClientExchange exchange, CallProgress progress) {
+		ResponseHeadLimit.onHeadReceived(exchange.getConnection());
 		ClientResponse response = exchange.getResponse();
 		Map<String, String> headers = headers(response.getResponseHeaders());
 		new BodyReader(this.buffers, MAXIMUM_RESPONSE_BYTES, (body) -> {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -9,6 +9,7 @@
 import io.undertow.client.ClientExchange;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.http.ClientConnections;
+import org.cyclamenstall.internal.http.ResponseHeadLimit;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 import org.xnio.XnioExecutor;
@@ -148,6 +149,7 @@
 		AttemptContext context = new AttemptContext(this.upstream, this.requestId, this.requestId + "-" + this.number,
 				this.resumePoint, remainingMillis());
 		startTimer(this.request.timeouts().firstByte());
+		ResponseHeadLimit.onRequest(newConnection);
 		newConnection.sendRequest(this.request.protocol().buildRequest(this.request, context),
 				new SendCallback(context));
 	}
@@ -164,6 +166,7 @@
 		if (this.ended) {
 			return;
 		}
+		ResponseHeadLimit.onHeadReceived(exchange.getConnection());
 		ResponseHead responseHead = this.request.protocol().parseHead(this.request, context, exchange.getResponse());
 		this.responseHead = responseHead;
 		reportLoad(responseHead);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
@@ -14,10 +14,10 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.http.ClientConnections;
+import org.cyclamenstall.internal.http.LimitedHttpClient;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 import org.xnio.OptionMap;
@@ -44,8 +44,6 @@
 
 	private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
-	private final UndertowClient client = UndertowClient.getInstance();
-
 	private final Map<XnioIoThread, Map<InetSocketAddress, Deque<IdleConnection>>> idleByThread = new ConcurrentHashMap<>();
 
 	private final ByteBufferPool buffers;
@@ -92,8 +90,8 @@
 		ConnectCallback connectCallback = new ConnectCallback(onConnected, onFailure);
 		connectCallback.timer = thread.executeAfter(connectCallback::onTimeout, timeout.toMillis(),
 				TimeUnit.MILLISECONDS);
-		this.client.connect(connectCallback, URI.create("http://" + hostPart(upstream) + ":" + upstream.port()), thread,
-				this.buffers, OPTIONS);
+		LimitedHttpClient.connect(connectCallback, URI.create("http://" + hostPart(upstream) + ":" + upstream.port()),
+				thread, this.buffers, OPTIONS);
 	}
 
 	/**
