--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
@@ -37,6 +37,7 @@
 	/** Maximum size of a datagram with several reports, which avoids fragmentation. */
 	private static final int MAXIMUM_DATAGRAM_BYTES = 1_400;
 
+	/** Size of the largest datagram that is received completely. */
 	private static final int RECEIVE_BUFFER_BYTES = 9_000;
 
 	private static final long MINIMUM_INTERVAL_MILLIS = 100;
@@ -149,22 +150,25 @@
 	}
 
 	private void sendReportAndReschedule() {
-		long delayMillis = MINIMUM_INTERVAL_MILLIS;
 		try {
-			delayMillis = sendReport();
+			sendReport();
 		}
 		catch (RuntimeException ex) {
 			logger.error("Could not report the load", ex);
 		}
 		try {
-			this.executor.schedule(this::sendReportAndReschedule, delayMillis, TimeUnit.MILLISECONDS);
+			this.executor.schedule(this::sendReportAndReschedule, intervalMillis(), TimeUnit.MILLISECONDS);
 		}
 		catch (RejectedExecutionException ex) {
 			logger.debug("Stopped reporting the load: the daemon shuts down");
 		}
 	}
 
-	private long sendReport() {
+	private long intervalMillis() {
+		return Math.max(MINIMUM_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_MEMBER * this.memberCount);
+	}
+
+	private void sendReport() {
 		List<UpstreamLoad> loads = this.localLoads.get();
 		long nowNanos = this.clock.nanoTime();
 		this.fleetLoad.removeExpired(nowNanos);
@@ -173,7 +177,6 @@
 			this.memberCount = this.members.size();
 			sendReport(loads, nowNanos);
 		}
-		return Math.max(MINIMUM_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_MEMBER * this.memberCount);
 	}
 
 	private void sendReport(List<UpstreamLoad> loads, long nowNanos) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PendingWorkWindow.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PendingWorkWindow.java
@@ -1,11 +1,12 @@
 package org.cyclamenstall.internal.policy.placement;
 
 /**
- * Limits the work in prompt tokens that this daemon has pending at one upstream, that is,
- * sent but without a first event yet. Under overload, requests that queue inside an
- * upstream can neither be reordered nor rejected and delay all later ones. The window
+ * Limits the work in prompt tokens that is pending at one upstream, that is, sent but
+ * without a first event yet: that of all daemons whose load is known. Under overload,
+ * requests that queue inside an upstream can neither be reordered nor rejected and delay
+ * all later ones. The window is a multiple of a reference that depends on the request; it
  * shrinks when first events arrive late relative to their objective, and grows when they
- * arrive early, so that daemons share an upstream without coordination. Not thread-safe.
+ * arrive early. Not thread-safe.
  */
 final class PendingWorkWindow {
 
@@ -26,6 +27,7 @@
 
 	private static final double SHRINK_FACTOR = 0.85;
 
+	/** Growth of the scale with each early first event. */
 	private static final double GROWTH = 0.035;
 
 	private static final long SHRINK_INTERVAL_NANOS = 100_000_000L;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -38,10 +38,12 @@
 	 */
 	private static final int MINIMUM_DAEMONS = 12;
 
+	/** Reference of a window while the load of the other daemons is not known. */
 	private static final double DEFAULT_WINDOW_TOKENS = 24_000;
 
 	private static final double MINIMUM_WINDOW_TOKENS = 8_000;
 
+	/** Share of the latency objective that the work of a window may take. */
 	private static final double WINDOW_OBJECTIVE_SHARE = 0.5;
 
 	/** Assumed prefix cache capacity of an engine. */
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchTiming.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchTiming.java
@@ -31,6 +31,7 @@
 
 	private static final Duration MAXIMUM_WAIT = Duration.ofSeconds(20);
 
+	/** Share of the bound for changes that is spent waiting for further changes. */
 	private static final double CHANGE_DELAY_SHARE = 0.075;
 
 	/**
