--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
@@ -68,11 +68,13 @@
 	 * @param detail the message sent to the caller
 	 * @param retryAfterMillis the retry delay sent to the caller, or {@code null} for
 	 * none
+	 * @param responseStarted whether a part of a stream was already sent, so that the
+	 * caller got no complete response
 	 * @param attempts the number of attempts
 	 * @param sinceArrivalMillis the time since the arrival of the request
 	 */
 	record RequestFailed(String request, String kind, String outcome, String detail, @Nullable Long retryAfterMillis,
-			int attempts, long sinceArrivalMillis) implements Event {
+			boolean responseStarted, int attempts, long sinceArrivalMillis) implements Event {
 
 	}
 
@@ -102,7 +104,7 @@
 	 * @param detail a description of the failure
 	 * @param provesNotRun whether the upstream certainly did not execute the request
 	 * @param afterMillis the time since the arrival of the request
-	 * @param next the action that follows, such as a retry
+	 * @param next the action that follows: a retry, or the reason why there is none
 	 */
 	record AttemptFailed(String request, int attempt, String upstream, String failure, String detail,
 			boolean provesNotRun, long afterMillis, String next) implements Event {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestEventRecorder.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestEventRecorder.java
@@ -7,6 +7,7 @@
 import org.cyclamenstall.internal.upstream.AttemptFailure;
 import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.RequestAttributes;
+import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
 
 /**
@@ -36,6 +37,18 @@
 		return new Attempt(grant.attempt(), grant.upstream().host());
 	}
 
+	/**
+	 * Records the event of a failed attempt.
+	 * @param attempt the identity of the attempt
+	 * @param failure the kind of failure
+	 * @param detail the detail message
+	 * @param decision whether the request is retried, or why it is not
+	 */
+	void recordAttemptFailure(Attempt attempt, AttemptFailure failure, String detail, RetryDecision decision) {
+		recordAttemptFailure(attempt, failure, detail,
+				(decision == RetryDecision.GRANTED) ? "tried again" : "given up: " + decision.label());
+	}
+
 	/**
 	 * Records the event of a failed attempt.
 	 * @param attempt the identity of the attempt
@@ -61,8 +74,8 @@
 		Duration retryAfter = report.retryAfter();
 		this.services.events()
 			.record(new Event.RequestFailed(this.attributes.requestId(), report.kind().code(), report.outcome().label(),
-					report.message(), (retryAfter != null) ? retryAfter.toMillis() : null, this.attempts,
-					sinceArrivalMillis()));
+					report.message(), (retryAfter != null) ? retryAfter.toMillis() : null, responseStarted,
+					this.attempts, sinceArrivalMillis()));
 	}
 
 	void recordResume(RetryReason reason) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -211,7 +211,7 @@
 		attempt.end(AttemptResult.FAILED);
 		this.mayHaveRun = true;
 		this.lastInconclusiveFailure = ErrorKind.UPSTREAM_FAILED;
-		if (hasEnded() || !this.attempts.isEmpty() || (mayRetry() && retry(RetryReason.FAILED))) {
+		if (hasEnded() || !this.attempts.isEmpty() || retryIfAllowed(RetryReason.FAILED) == RetryDecision.GRANTED) {
 			return;
 		}
 		if (this.relay.isStreaming() || FailureStatuses.impliesNotRun(response.status())) {
@@ -239,9 +239,9 @@
 			return;
 		}
 		boolean interrupted = this.relay.isStreaming() && !failure.provesNotRun();
-		boolean retried = mayRetry() && retry(interrupted ? RetryReason.STREAM_CUT : failure.retryReason());
-		this.recorder.recordAttemptFailure(endedAttempt, failure, detail, retried ? "tried again" : "given up");
-		if (!retried) {
+		RetryDecision decision = retryIfAllowed(interrupted ? RetryReason.STREAM_CUT : failure.retryReason());
+		this.recorder.recordAttemptFailure(endedAttempt, failure, detail, decision);
+		if (decision != RetryDecision.GRANTED) {
 			fail(failure.errorKind(), detail);
 		}
 	}
@@ -260,7 +260,7 @@
 			this.winner = null;
 		}
 		attempt.end(AttemptResult.PREEMPTED);
-		if (this.attempts.isEmpty() && !retry(RetryReason.PREEMPTED)) {
+		if (this.attempts.isEmpty() && retry(RetryReason.PREEMPTED) != RetryDecision.GRANTED) {
 			fail(ErrorKind.UPSTREAM_CONNECTION_LOST, "the stream was preempted and could not be resumed");
 		}
 	}
@@ -381,16 +381,21 @@
 		return attributes().options().resumable();
 	}
 
-	private boolean retry(RetryReason reason) {
+	private RetryDecision retryIfAllowed(RetryReason reason) {
+		return mayRetry() ? retry(reason) : RetryDecision.NOT_REPEATABLE;
+	}
+
+	private RetryDecision retry(RetryReason reason) {
 		Ticket currentTicket = this.ticket;
 		if (currentTicket == null || this.callerDisconnected) {
-			return false;
+			return RetryDecision.CALLER_DISCONNECTED;
 		}
 		AttemptExecution retryAttempt = new AttemptExecution(this, this.thread);
 		this.attempts.add(retryAttempt);
-		if (currentTicket.retry(reason, retryAttempt) != RetryDecision.GRANTED) {
+		RetryDecision decision = currentTicket.retry(reason, retryAttempt);
+		if (decision != RetryDecision.GRANTED) {
 			this.attempts.remove(retryAttempt);
-			return false;
+			return decision;
 		}
 		if (this.relay.isStreaming()) {
 			this.recorder.recordResume(reason);
@@ -398,7 +403,7 @@
 		else {
 			this.lifecycle.moveTo(RequestState.QUEUED);
 		}
-		return true;
+		return decision;
 	}
 
 	private void onResponseTimeout() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RetryDecision.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RetryDecision.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.policy;
 
+import java.util.Locale;
+
 /**
  * Enumerates the decisions on a request for another attempt.
  */
@@ -15,6 +17,20 @@
 	ATTEMPTS_EXHAUSTED,
 
 	/** No suitable upstream is available. */
-	NO_UPSTREAM
+	NO_UPSTREAM,
+
+	/** The request may have been executed and must not be executed twice. */
+	NOT_REPEATABLE,
+
+	/** The caller has disconnected. */
+	CALLER_DISCONNECTED;
+
+	/**
+	 * Returns the label of this decision in events.
+	 * @return the name in lower case with hyphens
+	 */
+	public String label() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
 
 }
