Keep a stream that has begun when its upstream pauses and no retry is allowed

What callers saw: a stream began, its engine was silent for a second, and the connection was closed without the last chunk, although the engine was sound and went on.

Cause: the gap timeout of an attempt aborted it first and asked for another attempt afterwards. When that was denied (the route's attempts used up, the retry budget spent, no other upstream), nothing was left to relay and the stream was cut. One pausing engine makes all of its streams ask at the same moment, which is what spends the budget.

Ruled out: the stand-in (the same stream is complete with the pause below the timeout), the route's timeout (30 s).

Change: once a part of a stream was relayed, the controller decides about the replacement while the silent attempt is still running, in one step under its lock. If it is granted, the silent attempt ends and the stream is resumed elsewhere as before. If not, the silent attempt goes on and asks again after the next timeout; the timeout of the response still limits it. Entries of the catalogue keep their timeouts as final: operators set them.

Why it works: no stream is aborted before there is something to put in its place, so silence alone never ends a response before its deadline. Tests: PlacementTests WhenAStreamPauses (replacement, attempts, spent budget).

--- a/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/ImmediateGrantController.java
+++ b/org.cyclamenstall.junit/src/main/java/org/cyclamenstall/junit/ImmediateGrantController.java
@@ -112,6 +112,11 @@
 			return RetryDecision.GRANTED;
 		}
 
+		@Override
+		public RetryDecision replace(Grant running, RetryReason reason, GrantListener listener) {
+			return RetryDecision.NO_UPSTREAM;
+		}
+
 		@Override
 		public Optional<Duration> hedgeDelay() {
 			return Optional.empty();
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacedRequest.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacedRequest.java
@@ -49,11 +49,26 @@
 	}
 
 	RetryDecision retry(RetryReason reason) {
+		return submittedTicket().retry(reason, this);
+	}
+
+	/**
+	 * Requests another attempt in place of the running one.
+	 */
+	RetryDecision replace() {
+		Grant running = this.grant;
+		if (running == null) {
+			throw new AssertionError("The request was not placed; refusal: " + this.refusal);
+		}
+		return submittedTicket().replace(running, RetryReason.STREAM_CUT, this);
+	}
+
+	private Ticket submittedTicket() {
 		Ticket currentTicket = this.ticket;
 		if (currentTicket == null) {
 			throw new AssertionError("The request was not submitted");
 		}
-		return currentTicket.retry(reason, this);
+		return currentTicket;
 	}
 
 }
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementTests.java
@@ -433,6 +433,51 @@
 
 	}
 
+	@Nested
+	class WhenAStreamPauses {
+
+		@Test
+		void theSilentAttemptIsReplacedAtAnotherEngine() {
+			PlacementFixture fixture = new PlacementFixture(4, DOMAIN, 1);
+			PlacedRequest chat = fixture.submitChat();
+			String silentEngine = chat.upstream();
+			assertThat(chat.replace(), equalTo(RetryDecision.GRANTED));
+			assertThat(chat.upstream(), not(equalTo(silentEngine)));
+			assertThat(loadOf(fixture, silentEngine), equalTo(0));
+			assertThat(loadOf(fixture, chat.upstream()), equalTo(1));
+		}
+
+		@Test
+		void theSilentAttemptCountsAsExecuted() {
+			PlacementFixture fixture = new PlacementFixture(4, DOMAIN, 1);
+			PlacedRequest chat = fixture.submitChat();
+			assertThat(chat.replace(), equalTo(RetryDecision.GRANTED));
+			assertThat(chat.replace(), equalTo(RetryDecision.ATTEMPTS_EXHAUSTED));
+		}
+
+		@Test
+		void theSilentAttemptKeepsItsEngineWhenTheBudgetIsSpent() {
+			PlacementFixture fixture = new PlacementFixture(4, DOMAIN, 1);
+			PlacedRequest chat = fixture.submitChat();
+			while (chat.replace() != RetryDecision.BUDGET_SPENT) {
+				chat = fixture.submitChat();
+			}
+			assertThat(loadOf(fixture, chat.upstream()) > 0, equalTo(true));
+			int loadBefore = loadOf(fixture, chat.upstream());
+			chat.grant.release(AttemptResult.COMPLETED);
+			assertThat(loadOf(fixture, chat.upstream()), equalTo(loadBefore - 1));
+		}
+
+		private int loadOf(PlacementFixture fixture, String engine) {
+			return fixture.controller.localLoads()
+				.stream()
+				.filter((load) -> load.upstreamKey() == UpstreamLoad.keyOf(engine))
+				.mapToInt(UpstreamLoad::running)
+				.sum();
+		}
+
+	}
+
 	@Nested
 	class WhenTheDaemonShutsDown {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
@@ -144,6 +144,11 @@
 		this.request.onResponse(this, response);
 	}
 
+	@Override
+	public boolean continuesAfterTimeout(UpstreamAttempt source, String detail) {
+		return this.request.continuesAfterTimeout(this, detail);
+	}
+
 	@Override
 	public void onFailed(UpstreamAttempt source, AttemptFailure failure, String detail) {
 		this.request.onAttemptFailed(this, failure, detail);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CatalogueCallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CatalogueCallerProtocol.java
@@ -172,7 +172,7 @@
 		Duration maximumIdle = attributes.idempotent() ? UpstreamConnectionPool.MAXIMUM_IDLE_TIME : Duration.ZERO;
 		return new UpstreamRequest(protocol, exchange.getRequestMethod(), requestTarget(exchange),
 				forwardedHeaders(exchange, attributes), body, attributes.streamed(), maximumIdle, false, null,
-				timeouts(attributes, forModelEngine));
+				timeouts(attributes, forModelEngine), true);
 	}
 
 	private UpstreamRequest.Timeouts timeouts(RequestAttributes attributes, boolean forModelEngine) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestEventRecorder.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestEventRecorder.java
@@ -62,6 +62,17 @@
 					failure.errorKind().code(), detail, failure.provesNotRun(), sinceArrivalMillis(), next));
 	}
 
+	/**
+	 * Records the event of an attempt whose upstream is silent in the middle of a stream.
+	 * @param attempt the identity of the attempt
+	 * @param detail the detail message
+	 * @param decision whether the attempt is replaced, or why it goes on
+	 */
+	void recordSilentAttempt(Attempt attempt, String detail, RetryDecision decision) {
+		recordAttemptFailure(attempt, AttemptFailure.TIMED_OUT, detail,
+				(decision == RetryDecision.GRANTED) ? "tried again" : "goes on: " + decision.label());
+	}
+
 	void recordErrorResponse(Attempt attempt, int status, String next) {
 		recordAttemptFailure(attempt, AttemptFailure.FAILED, "the upstream responded with status " + status, next);
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -221,6 +221,47 @@
 		sendResponse(upstream, response);
 	}
 
+	/**
+	 * Replaces an attempt whose upstream is silent, once a part of the stream was
+	 * relayed. If no other attempt is allowed, the silent one goes on: its upstream may
+	 * only pause, and the stream could not be completed otherwise. The timeout of the
+	 * response still limits it.
+	 * @param attempt the silent attempt
+	 * @param detail the detail message
+	 * @return {@code false} if the attempt must fail, because no part was relayed or the
+	 * request has no timeout of its own
+	 */
+	boolean continuesAfterTimeout(AttemptExecution attempt, String detail) {
+		if (hasEnded() || !this.relay.isStreaming() || !isResumable()
+				|| this.request.upstreamRequest().timeoutsAreFinal()) {
+			return false;
+		}
+		RequestEventRecorder.Attempt silentAttempt = this.recorder.recordAttempt(attempt.grant());
+		RetryDecision decision = replace(attempt);
+		this.recorder.recordSilentAttempt(silentAttempt, detail, decision);
+		return true;
+	}
+
+	private RetryDecision replace(AttemptExecution attempt) {
+		Ticket currentTicket = this.ticket;
+		if (currentTicket == null || this.callerDisconnected) {
+			return RetryDecision.CALLER_DISCONNECTED;
+		}
+		AttemptExecution replacement = new AttemptExecution(this, this.thread);
+		this.attempts.add(replacement);
+		RetryDecision decision = currentTicket.replace(attempt.grant(), RetryReason.STREAM_CUT, replacement);
+		if (decision != RetryDecision.GRANTED) {
+			this.attempts.remove(replacement);
+			return decision;
+		}
+		this.mayHaveRun = true;
+		this.lastInconclusiveFailure = ErrorKind.UPSTREAM_TIMEOUT;
+		this.winner = null;
+		attempt.end(AttemptResult.TIMED_OUT);
+		this.recorder.recordResume(RetryReason.STREAM_CUT);
+		return decision;
+	}
+
 	void onAttemptFailed(AttemptExecution attempt, AttemptFailure failure, String detail) {
 		RequestEventRecorder.Attempt endedAttempt = this.recorder.recordAttempt(attempt.grant());
 		attempt.end(failure.attemptResult());
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
@@ -204,7 +204,7 @@
 					options.streamed(),
 					options.idempotent() ? UpstreamConnectionPool.MAXIMUM_IDLE_TIME : MAXIMUM_IDLE_TIME_NON_IDEMPOTENT,
 					true, this.arrivalNanos + responseTimeout.toNanos(),
-					RoutedCallerProtocol.this.timeoutPolicy.timeoutsFor(options, responseTimeout));
+					RoutedCallerProtocol.this.timeoutPolicy.timeoutsFor(options, responseTimeout), false);
 		}
 
 		private int tokensPerEvent(String service) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTicket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/PolicyTicket.java
@@ -8,6 +8,7 @@
 import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.internal.policy.queue.QueuedRequest;
 import org.cyclamenstall.internal.policy.upstream.Upstream;
+import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.GrantListener;
 import org.cyclamenstall.policy.RequestAttributes;
 import org.cyclamenstall.policy.RetryDecision;
@@ -16,9 +17,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Represents one submitted request across all its attempts. Mutable fields are guarded by
- * the controller's lock. While the request is waiting, the ticket holds its listener,
- * which is removed when the wait ends. Thread-safe.
+ * Represents one submitted request across all its attempts. A running attempt is never
+ * replaced: the timeouts of a catalogue entry end it. Mutable fields are guarded by the
+ * controller's lock. While the request is waiting, the ticket holds its listener, which
+ * is removed when the wait ends. Thread-safe.
  */
 final class PolicyTicket implements Ticket, QueuedRequest {
 
@@ -75,6 +77,11 @@
 		return this.controller.retry(this, reason, listener);
 	}
 
+	@Override
+	public RetryDecision replace(Grant running, RetryReason reason, GrantListener listener) {
+		return RetryDecision.NO_UPSTREAM;
+	}
+
 	@Override
 	public Optional<Duration> hedgeDelay() {
 		return this.controller.hedgeDelay(this);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.cyclamenstall.policy.Grant;
 import org.cyclamenstall.policy.GrantListener;
 import org.cyclamenstall.policy.RequestAttributes;
 import org.cyclamenstall.policy.RetryDecision;
@@ -61,6 +62,11 @@
 		return this.controller.retry(this, reason, retryListener);
 	}
 
+	@Override
+	public RetryDecision replace(Grant running, RetryReason reason, GrantListener newListener) {
+		return this.controller.replace((PlacementGrant) running, reason, newListener);
+	}
+
 	@Override
 	public Optional<Duration> hedgeDelay() {
 		return Optional.empty();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -255,14 +255,30 @@
 
 	RetryDecision retry(PlacementTicket ticket, RetryReason reason, GrantListener listener) {
 		return runLocked(() -> {
-			RetryDecision decision = tryRetry(ticket, reason, listener, this.clock.nanoTime());
+			RetryDecision decision = tryRetry(ticket, ticket.possiblyExecutedAttempts(), reason, listener,
+					this.clock.nanoTime());
 			this.metrics.recordRetry(reason, decision);
 			return decision;
 		});
 	}
 
-	private RetryDecision tryRetry(PlacementTicket ticket, RetryReason reason, GrantListener listener, long nowNanos) {
-		if (ticket.possiblyExecutedAttempts() >= ticket.attributes().options().maximumAttempts()
+	RetryDecision replace(PlacementGrant running, RetryReason reason, GrantListener listener) {
+		return runLocked(() -> {
+			long nowNanos = this.clock.nanoTime();
+			PlacementTicket ticket = running.ticket();
+			RetryDecision decision = tryRetry(ticket, ticket.possiblyExecutedAttempts() + 1, reason, listener,
+					nowNanos);
+			this.metrics.recordRetry(reason, decision);
+			if (decision == RetryDecision.GRANTED) {
+				endAttempt(running, AttemptResult.TIMED_OUT, nowNanos);
+			}
+			return decision;
+		});
+	}
+
+	private RetryDecision tryRetry(PlacementTicket ticket, int possiblyExecutedAttempts, RetryReason reason,
+			GrantListener listener, long nowNanos) {
+		if (possiblyExecutedAttempts >= ticket.attributes().options().maximumAttempts()
 				|| ticket.unexecutedAttempts() > MAXIMUM_UNEXECUTED_RETRIES) {
 			return RetryDecision.ATTEMPTS_EXHAUSTED;
 		}
@@ -318,19 +334,22 @@
 
 	void endAttempt(PlacementGrant grant, AttemptResult result) {
 		runLocked(() -> {
-			if (grant.markEnded()) {
-				long nowNanos = this.clock.nanoTime();
-				grant.ticket()
-					.recordAttemptEnd(result == AttemptResult.UNREACHABLE || result == AttemptResult.REFUSED
-							|| result == AttemptResult.NOT_SENT);
-				PlacementPool pool = poolOf(grant.ticket());
-				pool.recordEnd(grant, result, nowNanos);
-				dispatchQueued(pool, nowNanos);
-			}
+			endAttempt(grant, result, this.clock.nanoTime());
 			return true;
 		});
 	}
 
+	private void endAttempt(PlacementGrant grant, AttemptResult result, long nowNanos) {
+		if (grant.markEnded()) {
+			grant.ticket()
+				.recordAttemptEnd(result == AttemptResult.UNREACHABLE || result == AttemptResult.REFUSED
+						|| result == AttemptResult.NOT_SENT);
+			PlacementPool pool = poolOf(grant.ticket());
+			pool.recordEnd(grant, result, nowNanos);
+			dispatchQueued(pool, nowNanos);
+		}
+	}
+
 	void finish(PlacementTicket ticket) {
 		runLocked(() -> {
 			this.unfinishedCount -= ticket.markFinished() ? 1 : 0;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptListener.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptListener.java
@@ -41,6 +41,15 @@
 	 */
 	void onResponse(UpstreamAttempt attempt, BufferedResponse response);
 
+	/**
+	 * Called when the upstream sent no data for the timeout.
+	 * @param attempt the attempt
+	 * @param detail the detail message for the caller
+	 * @return {@code true} if the attempt goes on, until the next timeout; {@code false}
+	 * if it fails
+	 */
+	boolean continuesAfterTimeout(UpstreamAttempt attempt, String detail);
+
 	/**
 	 * Called when the attempt failed.
 	 * @param attempt the attempt
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -293,7 +293,13 @@
 			schedule(remainingNanos);
 			return;
 		}
-		fail(AttemptFailure.TIMED_OUT, "the upstream sent no data for " + this.readTimeout.toMillis() + " ms");
+		String detail = "the upstream sent no data for " + this.readTimeout.toMillis() + " ms";
+		if (!this.listener.continuesAfterTimeout(this, detail)) {
+			fail(AttemptFailure.TIMED_OUT, detail);
+		}
+		else if (!this.ended) {
+			startTimer(this.readTimeout);
+		}
 	}
 
 	private void schedule(long nanos) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamRequest.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamRequest.java
@@ -24,10 +24,12 @@
  * @param deadlineNanos the deadline of the caller, on the monotonic clock, or
  * {@code null} if there is none
  * @param timeouts the timeouts of each attempt
+ * @param timeoutsAreFinal whether an attempt fails at its timeout even if its stream has
+ * begun and no other attempt is allowed
  */
 public record UpstreamRequest(UpstreamProtocol protocol, HttpString method, String target, HeaderMap headers,
 		byte[] body, boolean streamed, Duration maximumIdle, boolean retriesErrorResponses,
-		@Nullable Long deadlineNanos, Timeouts timeouts) {
+		@Nullable Long deadlineNanos, Timeouts timeouts, boolean timeoutsAreFinal) {
 
 	/**
 	 * Timeouts of an attempt.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/Ticket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/Ticket.java
@@ -26,6 +26,19 @@
 	 */
 	RetryDecision retry(RetryReason reason, GrantListener listener);
 
+	/**
+	 * Requests another attempt in place of a running one whose upstream sends no data.
+	 * The decision is made immediately. If it is {@link RetryDecision#GRANTED}, the
+	 * running attempt's grant was released, and the listener is called with a new one
+	 * before this method returns; otherwise nothing has changed, and the running attempt
+	 * may go on. The caller must make sure that the request may be retried safely.
+	 * @param running the grant of the running attempt
+	 * @param reason the reason for the retry
+	 * @param listener the listener for the new attempt
+	 * @return the decision
+	 */
+	RetryDecision replace(Grant running, RetryReason reason, GrantListener listener);
+
 	/**
 	 * Returns the time to wait for the first token before a hedged attempt is requested.
 	 * @return the delay, or empty if this request is not hedged
