--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -211,7 +211,7 @@
 		attempt.end(AttemptResult.FAILED);
 		this.mayHaveRun = true;
 		this.lastInconclusiveFailure = ErrorKind.UPSTREAM_FAILED;
-		if (hasEnded() || !this.attempts.isEmpty() || (mayRetry() && retry(RetryReason.FAILED))) {
+		if (hasEnded() || !this.attempts.isEmpty() || retryIfAllowed(RetryReason.FAILED) == RetryDecision.GRANTED) {
 			return;
 		}
 		if (this.relay.isStreaming() || FailureStatuses.impliesNotRun(response.status())) {
@@ -221,6 +221,47 @@
 		sendResponse(upstream, response);
 	}
 
+	/**
+	 * Replaces an attempt whose upstream is silent, once a part of the stream was
+	 * relayed. If no other attempt is allowed, the silent one goes on: its upstream may
+	 * only pause, and the stream could not be completed otherwise. The timeout of the
+	 * response still limits it.
+	 * @param attempt the silent attempt
+	 * @param detail the detail message
+	 * @return {@code false} if the attempt must fail, because no part was relayed or the
+	 * request has no timeout of its own
+	 */
+	boolean continuesAfterTimeout(AttemptExecution attempt, String detail) {
+		if (hasEnded() || !this.relay.isStreaming() || !isResumable()
+				|| this.request.upstreamRequest().timeoutsAreFinal()) {
+			return false;
+		}
+		RequestEventRecorder.Attempt silentAttempt = this.recorder.recordAttempt(attempt.grant());
+		RetryDecision decision = replace(attempt);
+		this.recorder.recordSilentAttempt(silentAttempt, detail, decision);
+		return true;
+	}
+
+	private RetryDecision replace(AttemptExecution attempt) {
+		Ticket currentTicket = this.ticket;
+		if (currentTicket == null || this.callerDisconnected) {
+			return RetryDecision.CALLER_DISCONNECTED;
+		}
+		AttemptExecution replacement = new AttemptExecution(this, this.thread);
+		this.attempts.add(replacement);
+		RetryDecision decision = currentTicket.replace(attempt.grant(), RetryReason.STREAM_CUT, replacement);
+		if (decision != RetryDecision.GRANTED) {
+			this.attempts.remove(replacement);
+			return decision;
+		}
+		this.mayHaveRun = true;
+		this.lastInconclusiveFailure = ErrorKind.UPSTREAM_TIMEOUT;
+		this.winner = null;
+		attempt.end(AttemptResult.TIMED_OUT);
+		this.recorder.recordResume(RetryReason.STREAM_CUT);
+		return decision;
+	}
+
 	void onAttemptFailed(AttemptExecution attempt, AttemptFailure failure, String detail) {
 		RequestEventRecorder.Attempt endedAttempt = this.recorder.recordAttempt(attempt.grant());
 		attempt.end(failure.attemptResult());
@@ -239,9 +280,9 @@
 			return;
 		}
 		boolean interrupted = this.relay.isStreaming() && !failure.provesNotRun();
-		boolean retried = mayRetry() && retry(interrupted ? RetryReason.STREAM_CUT : failure.retryReason());
-		this.recorder.recordAttemptFailure(endedAttempt, failure, detail, retried ? "tried again" : "given up");
-		if (!retried) {
+		RetryDecision decision = retryIfAllowed(interrupted ? RetryReason.STREAM_CUT : failure.retryReason());
+		this.recorder.recordAttemptFailure(endedAttempt, failure, detail, decision);
+		if (decision != RetryDecision.GRANTED) {
 			fail(failure.errorKind(), detail);
 		}
 	}
@@ -260,7 +301,7 @@
 			this.winner = null;
 		}
 		attempt.end(AttemptResult.PREEMPTED);
-		if (this.attempts.isEmpty() && !retry(RetryReason.PREEMPTED)) {
+		if (this.attempts.isEmpty() && retry(RetryReason.PREEMPTED) != RetryDecision.GRANTED) {
 			fail(ErrorKind.UPSTREAM_CONNECTION_LOST, "the stream was preempted and could not be resumed");
 		}
 	}
@@ -381,16 +422,21 @@
 		return attributes().options().resumable();
 	}
 
-	private boolean retry(RetryReason reason) {
+	private RetryDecision retryIfAllowed(RetryReason reason) {
+		return mayRetry() ? retry(reason) : RetryDecision.NOT_REPEATABLE;
+	}
+
+	private RetryDecision retry(RetryReason reason) {
 		Ticket currentTicket = this.ticket;
 		if (currentTicket == null || this.callerDisconnected) {
-			return false;
+			return RetryDecision.CALLER_DISCONNECTED;
 		}
 		AttemptExecution retryAttempt = new AttemptExecution(this, this.thread);
 		this.attempts.add(retryAttempt);
-		if (currentTicket.retry(reason, retryAttempt) != RetryDecision.GRANTED) {
+		RetryDecision decision = currentTicket.retry(reason, retryAttempt);
+		if (decision != RetryDecision.GRANTED) {
 			this.attempts.remove(retryAttempt);
-			return false;
+			return decision;
 		}
 		if (this.relay.isStreaming()) {
 			this.recorder.recordResume(reason);
@@ -398,7 +444,7 @@
 		else {
 			this.lifecycle.moveTo(RequestState.QUEUED);
 		}
-		return true;
+		return decision;
 	}
 
 	private void onResponseTimeout() {
