Apply connection timeouts below one second as configured

With a header or idle timeout below one second, callers saw a kept connection close about 50 ms after its last response, and a request whose headers arrived in two parts end without an answer. Fractions of longer timeouts were cut off as well.

Cause: the timeouts were converted to whole seconds, so they became 0, and the server treats 0 as a time that has already passed at its next check, not as "no limit".

Change: timeouts are passed in milliseconds, at least 1.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -43,8 +43,6 @@
 
 	private static final int CLAIM_THREADS = 16;
 
-	private static final int MILLIS_PER_SECOND = 1_000;
-
 	private static final int LISTEN_BACKLOG = 1_000;
 
 	private static final OptionMap WORKER_OPTIONS = OptionMap.builder()
@@ -152,8 +150,9 @@
 			}
 			InetSocketAddress address = new InetSocketAddress(this.settings.address(), this.settings.port());
 			HttpOpenListener openListener = new HttpOpenListener(this.bufferPool,
-					serverOptions(this.settings.maximumHeaderBytes(), this.settings.requestReadSeconds(),
-							this.settings.idleSeconds()));
+					serverOptions(this.settings.maximumHeaderBytes(),
+							Duration.ofSeconds(this.settings.requestReadSeconds()),
+							Duration.ofSeconds(this.settings.idleSeconds())));
 			this.callerListener = openListener;
 			this.acceptingChannel = listen(startedWorker, address, openListener, this.handler);
 		}
@@ -172,8 +171,7 @@
 	 */
 	public void applyConnectionLimits(int headerBytes, Duration headerTimeout, Duration idleTimeout) {
 		if (this.callerListener != null) {
-			this.callerListener
-				.setUndertowOptions(serverOptions(headerBytes, headerTimeout.toSeconds(), idleTimeout.toSeconds()));
+			this.callerListener.setUndertowOptions(serverOptions(headerBytes, headerTimeout, idleTimeout));
 		}
 	}
 
@@ -230,14 +228,19 @@
 		this.blockingExecutor.shutdownNow();
 	}
 
-	private static OptionMap serverOptions(int headerBytes, long headerSeconds, long idleSeconds) {
+	private static OptionMap serverOptions(int headerBytes, Duration headerTimeout, Duration idleTimeout) {
 		return OptionMap.builder()
 			.set(UndertowOptions.MAX_HEADER_SIZE, headerBytes)
-			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) headerSeconds * MILLIS_PER_SECOND)
-			.set(UndertowOptions.NO_REQUEST_TIMEOUT, (int) idleSeconds * MILLIS_PER_SECOND)
+			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, positiveMillis(headerTimeout))
+			.set(UndertowOptions.NO_REQUEST_TIMEOUT, positiveMillis(idleTimeout))
 			.getMap();
 	}
 
+	// A timeout of zero milliseconds would end every wait at once.
+	private static int positiveMillis(Duration timeout) {
+		return (int) Math.min(Integer.MAX_VALUE, Math.max(1, timeout.toMillis()));
+	}
+
 	private static OptionMap socketOptions(CallerSettings settings) {
 		return OptionMap.builder()
 			.set(Options.TCP_NODELAY, true)
