Answer a request whatever throws while it is executed

If the traffic controller, the event log or a metric threw while a request was executed, its caller got neither an answer nor a refusal, and the timers that would have ended the request were already cancelled. No report names such an exception; this closes the way, it does not show that it was taken.

Cause: a request was marked as ended before its grants were released, its event recorded and its response written, and its tasks, timers and notifications ran without a handler; the I/O threads only log what they throw.

Evidence: a controller, its tickets and grants, and an event log, of which one method throws after its effect.

Change: RequestExecution.guard is the only way into the execution, and turns what a step throws into an internal error with the outcome unknown, never into a status that promises that the request was not run. What the response does not depend on (releasing grants, finishing the ticket, metrics, events of the response) is tolerated: it is logged, and the response is sent. Once sending was permitted, an internal error counts the request as possibly executed, so its claim is not abandoned.

Left out: the events of failed attempts and of retries are guarded, not tolerated, so an exception in them ends the request with an internal error instead of a retry.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/GatewayFixture.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -28,6 +29,7 @@
 import org.cyclamenstall.claims.ClaimRegistry;
 import org.cyclamenstall.claims.ClaimRequest;
 import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.gateway.CallerServer;
 import org.cyclamenstall.internal.yaml.CheckedYamlReader;
@@ -36,6 +38,7 @@
 import org.cyclamenstall.kernel.Closer;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.AttemptResult;
+import org.cyclamenstall.policy.TrafficController;
 import org.cyclamenstall.settings.DaemonSettings;
 
 /**
@@ -76,13 +79,19 @@
 	String apiKey = API_KEY;
 
 	GatewayFixture(List<ScriptedUpstream> upstreams, List<ListedHost> unreachableHosts) {
+		this(upstreams, unreachableHosts, (controller) -> controller, EventLog.NONE);
+	}
+
+	GatewayFixture(List<ScriptedUpstream> upstreams, List<ListedHost> unreachableHosts,
+			UnaryOperator<TrafficController> decorator, EventLog events) {
 		List<ListedHost> upstreamOrder = new ArrayList<>(unreachableHosts);
 		upstreams.forEach((upstream) -> upstreamOrder.add(this.closer.register(upstream).listedHost()));
 		this.controller = new ImmediateGrantController(upstreamOrder);
 		DaemonSettings settings = new CheckedYamlReader(ErrorKind.SETTINGS_INVALID).read(SETTINGS, "test",
 				DaemonSettings.class);
-		this.server = this.closer.register(new CallerServer(settings, 1, new FixedCatalogue(), this.controller,
-				new UnavailableClaimRegistry(), MonotonicClock.SYSTEM, this.metrics));
+		this.server = this.closer
+			.register(new CallerServer(settings, 1, new FixedCatalogue(), decorator.apply(this.controller),
+					new UnavailableClaimRegistry(), MonotonicClock.SYSTEM, this.metrics, events));
 		this.server.start();
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
@@ -37,7 +37,7 @@
 
 	@Override
 	public void onGranted(Grant newGrant) {
-		this.thread.execute(() -> {
+		executeGuarded(() -> {
 			this.grant = newGrant;
 			this.request.onGranted(this);
 		});
@@ -45,18 +45,22 @@
 
 	@Override
 	public void onRefused(Refusal refusal) {
-		this.thread.execute(() -> this.request.onRefused(this, refusal));
+		executeGuarded(() -> this.request.onRefused(this, refusal));
 	}
 
 	@Override
 	public void onPreempt() {
-		this.thread.execute(() -> {
+		executeGuarded(() -> {
 			if (hasGrant()) {
 				this.request.onPreempted(this);
 			}
 		});
 	}
 
+	private void executeGuarded(Runnable step) {
+		this.thread.execute(() -> this.request.guard(step));
+	}
+
 	/**
 	 * Returns the grant.
 	 * @return the grant
@@ -102,7 +106,7 @@
 			this.upstreamAttempt.cancel();
 		}
 		if (current != null) {
-			current.release(result);
+			this.request.tolerate(() -> current.release(result));
 			this.request.onGrantReleased(this);
 		}
 	}
@@ -121,45 +125,47 @@
 
 	@Override
 	public boolean beginSending(UpstreamAttempt source) {
-		return this.request.beginSending(this);
+		return this.request.guard(() -> this.request.beginSending(this), false);
 	}
 
 	@Override
 	public void onStreamStarted(UpstreamAttempt source, ResponseHead responseHead) {
-		this.request.onStreamStarted(this, responseHead);
+		this.request.guard(() -> this.request.onStreamStarted(this, responseHead));
 	}
 
 	@Override
 	public void onStreamEvent(UpstreamAttempt source, StreamEvent event) {
-		this.request.onStreamEvent(this, event);
+		this.request.guard(() -> this.request.onStreamEvent(this, event));
 	}
 
 	@Override
 	public void onStreamEnded(UpstreamAttempt source) {
-		this.request.onStreamEnded(this);
+		this.request.guard(() -> this.request.onStreamEnded(this));
 	}
 
 	@Override
 	public void onResponse(UpstreamAttempt source, BufferedResponse response) {
-		this.request.onResponse(this, response);
+		this.request.guard(() -> this.request.onResponse(this, response));
 	}
 
 	@Override
 	public void onFailed(UpstreamAttempt source, AttemptFailure failure, String detail) {
-		this.request.onAttemptFailed(this, failure, detail);
+		this.request.guard(() -> this.request.onAttemptFailed(this, failure, detail));
 	}
 
 	@Override
 	public void onLoadReported(UpstreamAttempt source, ReportedLoad load) {
-		if (this.grant != null) {
-			this.grant.recordLoad(load.running(), load.slots(), load.ageMillis());
+		Grant current = this.grant;
+		if (current != null) {
+			this.request.tolerate(() -> current.recordLoad(load.running(), load.slots(), load.ageMillis()));
 		}
 	}
 
 	@Override
 	public void onUpstreamDraining(UpstreamAttempt source) {
-		if (this.grant != null) {
-			this.grant.markUpstreamDraining();
+		Grant current = this.grant;
+		if (current != null) {
+			this.request.tolerate(current::markUpstreamDraining);
 		}
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -1,8 +1,11 @@
 package org.cyclamenstall.internal.gateway;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 
 import io.undertow.server.HttpServerExchange;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.claims.ClaimDecision;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.internal.upstream.AttemptFailure;
@@ -18,19 +21,24 @@
 import org.cyclamenstall.policy.RetryReason;
 import org.cyclamenstall.policy.Ticket;
 import org.jspecify.annotations.Nullable;
+import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /**
  * Executes one request from its submission to its response. Used on the I/O thread of the
  * exchange.
  * <p>
- * Invariants: the caller gets at most one response; a request that may have reached an
- * upstream is never reported as {@code not-run}; a non-idempotent request is sent again
- * only after proof that the earlier attempt was not executed; the ticket is finished
- * after the last grant was released.
+ * Invariants: an accepted request leaves by exactly one response, unless its caller
+ * disconnected, whatever an event log, a metric or the traffic controller throws
+ * ({@link #guard}, {@link #tolerate}); a request that may have reached an upstream is
+ * never reported as {@code not-run}; a non-idempotent request is sent again only after
+ * proof that the earlier attempt was not executed; the ticket is finished after the last
+ * grant was released.
  */
 final class RequestExecution implements ResponseRelay.FlowControl {
 
+	private static final Logger logger = LogManager.getLogger(RequestExecution.class);
+
 	private static final int STATUS_OK = 200;
 
 	private final HttpServerExchange exchange;
@@ -70,8 +78,14 @@
 
 	private boolean mayHaveRun;
 
+	/** Whether sending was ever permitted; unlike the state, it is never reset. */
+	private boolean sendingBegan;
+
 	private boolean callerDisconnected;
 
+	/** Whether the response, or its end if it is a stream, was passed to the relay. */
+	private boolean answered;
+
 	private boolean ticketFinished;
 
 	RequestExecution(HttpServerExchange exchange, CallerRequest request, GatewayServices services) {
@@ -90,18 +104,103 @@
 	 * Submits the request to the traffic controller.
 	 */
 	void start() {
-		this.disconnectDetector = CallerDisconnectDetector.start(this.exchange, this::onCallerDisconnected);
+		guard(this::submit);
+	}
+
+	private void submit() {
+		this.disconnectDetector = CallerDisconnectDetector.start(this.exchange,
+				() -> guard(this::onCallerDisconnected));
 		this.lifecycle.moveTo(RequestState.QUEUED);
 		Duration responseTimeout = attributes().options().responseTimeout();
 		if (responseTimeout != null) {
 			long sinceArrival = this.services.clock().nanoTime() - attributes().arrivalNanos();
-			this.timers.schedule(responseTimeout.minusNanos(sinceArrival), this::onResponseTimeout);
+			schedule(responseTimeout.minusNanos(sinceArrival), this::onResponseTimeout);
 		}
 		AttemptExecution firstAttempt = new AttemptExecution(this, this.thread);
 		this.attempts.add(firstAttempt);
 		this.ticket = this.services.controller().submit(attributes(), firstAttempt);
 	}
 
+	private void schedule(Duration delay, Runnable step) {
+		this.timers.schedule(delay, () -> guard(step));
+	}
+
+	/**
+	 * Runs a step of the request; each task, timer and notification enters through this
+	 * method. If the step throws and the request is not answered, it fails with an
+	 * internal error.
+	 * @param step the step
+	 */
+	void guard(Runnable step) {
+		guard(() -> {
+			step.run();
+			return true;
+		}, false);
+	}
+
+	/**
+	 * Runs a step of the request that decides something.
+	 * @param step the step
+	 * @param decisionAfterFailure the decision if the step throws
+	 * @return the decision
+	 * @see #guard(Runnable)
+	 */
+	boolean guard(BooleanSupplier step, boolean decisionAfterFailure) {
+		try {
+			return step.getAsBoolean();
+		}
+		catch (RuntimeException | Error ex) {
+			logger.error("A step of request {} failed", this.request.id(), ex);
+			failInternally();
+			return decisionAfterFailure;
+		}
+	}
+
+	/**
+	 * Runs an action on which the response does not depend, and only logs what it throws.
+	 * @param action the action
+	 */
+	void tolerate(Runnable action) {
+		tolerate(() -> {
+			action.run();
+			return true;
+		}, false);
+	}
+
+	private boolean tolerate(BooleanSupplier action, boolean resultAfterFailure) {
+		try {
+			return action.getAsBoolean();
+		}
+		catch (RuntimeException | Error ex) {
+			logger.error("An action of request {} failed; the request goes on", this.request.id(), ex);
+			return resultAfterFailure;
+		}
+	}
+
+	// A response that can be neither completed nor replaced is cut off.
+	private void failInternally() {
+		this.mayHaveRun |= this.sendingBegan;
+		Refusal cause = new Refusal(ErrorKind.INTERNAL, "internal error in the daemon");
+		if (!hasEnded()) {
+			tolerate(() -> fail(cause));
+		}
+		if (!isSettled() && !this.exchange.isResponseStarted()) {
+			tolerate(() -> writeError(ErrorReport.ofUnknownOutcome(cause, null)));
+		}
+		if (!isSettled()) {
+			IoUtils.safeClose(this.exchange.getConnection());
+		}
+	}
+
+	private boolean isSettled() {
+		return this.answered || this.callerDisconnected;
+	}
+
+	private void writeError(ErrorReport report) {
+		this.relay.writeError(report);
+		this.answered = true;
+	}
+
 	/**
 	 * Acquires the claim if one is needed, then sends the request with the grant. If the
 	 * request has already ended, the attempt is ended unsent.
@@ -114,7 +213,7 @@
 		else if (this.claim.isPending()) {
 			this.services.blockingExecutor().execute(() -> {
 				ClaimDecision decision = this.claim.acquire();
-				this.thread.execute(() -> onClaimDecision(attempt, decision));
+				this.thread.execute(() -> guard(() -> onClaimDecision(attempt, decision)));
 			});
 		}
 		else {
@@ -154,6 +253,7 @@
 			fail(ErrorKind.CLAIM_EXPIRED, "the claim exceeded its maximum age before the request was sent");
 			return false;
 		}
+		this.sendingBegan = true;
 		return this.lifecycle.moveTo(RequestState.SENDING);
 	}
 
@@ -169,7 +269,7 @@
 		if (!this.relay.isStreaming() || attempt != this.winner) {
 			return;
 		}
-		this.progress.recordEvent(attempt.grant(), event);
+		tolerate(() -> this.progress.recordEvent(attempt.grant(), event));
 		this.relay.writeEvent(event);
 		if (this.relay.isBlocked()) {
 			attempt.suspendReads();
@@ -181,8 +281,9 @@
 		attempt.end(AttemptResult.COMPLETED);
 		if (this.relay.isStreaming() && !hasEnded()) {
 			end(AttemptResult.CANCELLED);
-			this.recorder.recordResponse(upstream, STATUS_OK, this.progress);
+			tolerate(() -> this.recorder.recordResponse(upstream, STATUS_OK, this.progress));
 			this.relay.finishStream();
+			this.answered = true;
 		}
 	}
 
@@ -198,7 +299,7 @@
 		if (!selectWinner(attempt)) {
 			return;
 		}
-		this.progress.recordResponseTokens(attempt.grant(), response.tokens());
+		tolerate(() -> this.progress.recordResponseTokens(attempt.grant(), response.tokens()));
 		attempt.end(AttemptResult.COMPLETED);
 		this.claim.complete(response);
 		sendResponse(upstream, response);
@@ -299,10 +400,10 @@
 		}
 		boolean continues = !attributes().idempotent() && !attributes().streamed()
 				&& this.lifecycle.state() == RequestState.SENDING;
-		this.recorder.recordCallerDisconnect(continues);
+		tolerate(() -> this.recorder.recordCallerDisconnect(continues));
 		if (!continues) {
 			end(AttemptResult.CANCELLED);
-			this.claim.settleWithoutResponse(this.mayHaveRun);
+			settleClaim();
 		}
 		this.relay.endExchange();
 	}
@@ -346,7 +447,7 @@
 		if (currentTicket == null || this.relay.isStreaming() || !attributes().idempotent()) {
 			return;
 		}
-		currentTicket.hedgeDelay().ifPresent((delay) -> this.timers.schedule(delay, this::startHedge));
+		currentTicket.hedgeDelay().ifPresent((delay) -> schedule(delay, this::startHedge));
 	}
 
 	private void startHedge() {
@@ -364,7 +465,7 @@
 	private boolean selectWinner(AttemptExecution attempt) {
 		if (this.winner == null) {
 			this.winner = attempt;
-			this.progress.recordStart(attempt.grant());
+			tolerate(() -> this.progress.recordStart(attempt.grant()));
 			this.attempts.endAllExcept(attempt, AttemptResult.HEDGE_LOST);
 		}
 		return this.winner == attempt;
@@ -424,28 +525,35 @@
 			return;
 		}
 		end(AttemptResult.CANCELLED);
-		boolean provenNotRun = this.claim.settleWithoutResponse(this.mayHaveRun);
-		ErrorReport report = provenNotRun ? ErrorReport.of(refusal)
+		ErrorReport report = settleClaim() ? ErrorReport.of(refusal)
 				: ErrorReport.ofUnknownOutcome(refusal, this.mayHaveRun ? this.lastInconclusiveFailure : null);
-		this.recorder.recordRequestFailure(report, this.relay.isStreaming());
+		tolerate(() -> this.recorder.recordRequestFailure(report, this.relay.isStreaming()));
 		if (!this.callerDisconnected) {
-			this.relay.writeError(report);
+			writeError(report);
 		}
 	}
 
+	// A claim that cannot be settled proves nothing.
+	private boolean settleClaim() {
+		return tolerate(() -> this.claim.settleWithoutResponse(this.mayHaveRun), false);
+	}
+
 	private void sendResponse(@Nullable String upstream, BufferedResponse response) {
 		if (hasEnded()) {
 			return;
 		}
 		end(AttemptResult.CANCELLED);
-		this.recorder.recordResponse((upstream != null) ? upstream : "", response.status(), this.progress);
+		tolerate(() -> this.recorder.recordResponse((upstream != null) ? upstream : "", response.status(),
+				this.progress));
 		if (!this.callerDisconnected) {
 			this.relay.writeResponse(upstream, response);
+			this.answered = true;
 		}
 	}
 
 	// Ends the request: ends all attempts that have a grant with the result, and
-	// withdraws an attempt that waits for a grant.
+	// withdraws an attempt that waits for a grant. Never throws, because the response is
+	// written afterwards.
 	private void end(AttemptResult result) {
 		this.mayHaveRun |= this.attempts.hasAnyStartedSending();
 		this.lifecycle.end();
@@ -453,17 +561,22 @@
 		if (this.disconnectDetector != null) {
 			this.disconnectDetector.stop();
 		}
-		this.attempts.endAllExcept(null, result);
+		tolerate(() -> this.attempts.endAllExcept(null, result));
+		tolerate(this::withdrawWaiting);
+		finishTicket();
+	}
+
+	private void withdrawWaiting() {
 		if (this.attempts.isAnyWaiting() && this.ticket != null && this.ticket.withdraw()) {
 			this.attempts.removeWaiting();
 		}
-		finishTicket();
 	}
 
 	private void finishTicket() {
-		if (hasEnded() && this.attempts.isEmpty() && !this.ticketFinished && this.ticket != null) {
+		Ticket currentTicket = this.ticket;
+		if (hasEnded() && this.attempts.isEmpty() && !this.ticketFinished && currentTicket != null) {
 			this.ticketFinished = true;
-			this.ticket.finish(this.progress.tokens());
+			tolerate(() -> currentTicket.finish(this.progress.tokens()));
 		}
 	}
 
