Quarantine prompt parts that crash upstreams

What callers saw: requests with one prompt part crashed engine after engine, and the sound requests at those engines, of all classes, got 502 or a stream that was cut.

Cause: a crash by a request was one lost connection among many. Nothing compared the requests that were lost, and a daemon sees only a fraction of the crashes.

Ruled out: retries as the cause (most crashes come from first attempts); a limit by account, route or whole prompt (sound requests share them).

Change: PromptQuarantine collects the parts of requests whose connection was lost before the first event, exchanges them in the datagrams of the load exchange, and blames a part that several upstreams crashed on at different moments while no request with it ever began to be answered. Such requests are refused, prompt-quarantined, 503, not-run. Any success ends a quarantine; after its end single probes test it.

Why it works: the deadly part is the only one without a success, whatever else the requests share; three crashes of the whole fleet decide, and every daemon hears of them within two report intervals.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/load/FleetLoadTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/peers/load/FleetLoadTests.java
@@ -1,13 +1,20 @@
 package org.cyclamenstall.test.peers.load;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.cyclamenstall.internal.peers.load.FleetLoad;
 import org.cyclamenstall.internal.peers.load.LoadEndpoint;
 import org.cyclamenstall.internal.peers.load.LoadReport;
 import org.cyclamenstall.internal.peers.load.LoadReportCodec;
 import org.cyclamenstall.internal.peers.load.UpstreamLoad;
+import org.cyclamenstall.internal.policy.quarantine.CrashReport;
+import org.cyclamenstall.internal.policy.quarantine.PartSuccess;
+import org.cyclamenstall.internal.policy.quarantine.QuarantineReport;
+import org.cyclamenstall.internal.policy.quarantine.QuarantineVerdict;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -15,6 +22,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * Tests of {@link FleetLoad} and {@link LoadReportCodec}.
@@ -110,6 +118,42 @@
 			assertThat(decoded.loads().get(0).upstreamKey(), equalTo(ENGINE));
 		}
 
+		@Test
+		void itsPromptPartsAreDecodedUnchanged() {
+			QuarantineReport quarantine = quarantineReport(2, 3);
+			byte[] bytes = this.codec.encode(List.of(report(quarantine)));
+			assertThat(this.codec.decode(bytes, bytes.length).get(0).quarantine(), equalTo(quarantine));
+			byte[] withoutParts = this.codec.encode(List.of(report(QuarantineReport.EMPTY)));
+			assertThat(this.codec.decode(withoutParts, withoutParts.length).get(0).quarantine(),
+					equalTo(QuarantineReport.EMPTY));
+		}
+
+		@Test
+		void theLargestPromptPartsFitIntoADatagram() {
+			byte[] bytes = this.codec.encode(List.of(report(quarantineReport(16, 12))));
+			assertThat(bytes.length, lessThan(4_000));
+		}
+
+		private LoadReport report(QuarantineReport quarantine) {
+			return new LoadReport(FIRST, 7, 9, List.of(), List.of(), false, false, quarantine);
+		}
+
+		private QuarantineReport quarantineReport(int entries, int partsPerCrash) {
+			List<CrashReport> crashes = new ArrayList<>();
+			List<PartSuccess> successes = new ArrayList<>();
+			List<QuarantineVerdict> verdicts = new ArrayList<>();
+			for (int entry = 0; entry < entries; entry++) {
+				Set<Long> parts = new HashSet<>();
+				for (int part = 0; part < partsPerCrash; part++) {
+					parts.add(UpstreamLoad.keyOf("part-" + entry + "-" + part));
+				}
+				crashes.add(new CrashReport(UpstreamLoad.keyOf("crash-" + entry), 1_000 + entry, parts));
+				successes.add(new PartSuccess(UpstreamLoad.keyOf("success-" + entry), 600_000));
+				verdicts.add(new QuarantineVerdict(UpstreamLoad.keyOf("verdict-" + entry), 2_000, 120_000, entry));
+			}
+			return new QuarantineReport(crashes, successes, verdicts);
+		}
+
 		@Test
 		void bytesThatAreNoReportAreIgnored() {
 			for (int length = 0; length < 40; length++) {
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
@@ -19,6 +19,7 @@
 import org.cyclamenstall.internal.peers.load.FleetLoad;
 import org.cyclamenstall.internal.policy.placement.PlacementSettings;
 import org.cyclamenstall.internal.policy.placement.PlacementTrafficController;
+import org.cyclamenstall.internal.policy.quarantine.PromptQuarantine;
 import org.cyclamenstall.junit.ManualClock;
 import org.cyclamenstall.policy.PromptPart;
 import org.cyclamenstall.policy.PromptShape;
@@ -50,6 +51,8 @@
 
 	final FleetLoad fleetLoad = new FleetLoad();
 
+	final PromptQuarantine quarantine;
+
 	final PlacementTrafficController controller;
 
 	private int requestCount;
@@ -64,8 +67,9 @@
 			this.listedHosts.add(new ListedHost(SERVICE, "engine-" + index, "127.0.0.1", 1_000 + index,
 					"domain-" + index % 4, HostState.LIVE, 128, 1));
 		}
+		this.quarantine = new PromptQuarantine(RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.events::add);
 		this.controller = new PlacementTrafficController(new PlacementSettings(10_000, 0.16, FLEET_RETRIES),
-				new FixtureHostList(), failureDomain, this.fleetLoad, clock,
+				new FixtureHostList(), failureDomain, this.fleetLoad, this.quarantine, clock,
 				RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.events::add, new PrometheusRegistry());
 		this.controller.start();
 	}
@@ -78,6 +82,21 @@
 		this.listeners.forEach((listener) -> listener.accept(snapshot));
 	}
 
+	ListedHost host(int index) {
+		return this.listedHosts.get(index);
+	}
+
+	/**
+	 * Lists an upstream with its next incarnation.
+	 */
+	void restartHost(String name) {
+		for (int index = 0; index < this.listedHosts.size(); index++) {
+			if (host(index).host().equals(name)) {
+				updateHost(index, HostState.LIVE, host(index).incarnation() + 1);
+			}
+		}
+	}
+
 	PlacedRequest submitChat() {
 		return submit(stream("chat", 0, CHAT_EVENT_GAP, Duration.ofMillis(300), Duration.ofSeconds(12), true,
 				new PromptShape(800, 400, 290, List.of(new PromptPart("c" + this.requestCount, 800)))));
@@ -100,6 +119,17 @@
 		return submit(attributes("plan", false, true, options));
 	}
 
+	/**
+	 * Submits a resumable stream with a short prompt, whose first part other requests may
+	 * share.
+	 */
+	PlacedRequest submitDialogue(String sharedPart) {
+		List<PromptPart> parts = List.of(new PromptPart(sharedPart, 300),
+				new PromptPart("turn-" + this.requestCount, 100));
+		return submit(stream("dialogue", 0, CHAT_EVENT_GAP, Duration.ofMillis(300), Duration.ofSeconds(12), true,
+				new PromptShape(400, 100, 50, parts)));
+	}
+
 	PlacedRequest submitSummary() {
 		return submit(stream("summary", 1, Duration.ofMillis(400), Duration.ofMillis(400), Duration.ofSeconds(3), false,
 				new PromptShape(2_400, 60, 25, List.of(new PromptPart("s" + this.requestCount, 2_400)))));
--- a/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/LoadDatagram.java
+++ b/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/LoadDatagram.java
@@ -371,14 +371,14 @@
 					case 1: // REPORTS
 						if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
 							{
-								org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
-								struct.reports = new java.util.ArrayList<LoadReport>(_list70.size);
+								org.apache.thrift.protocol.TList _list102 = iprot.readListBegin();
+								struct.reports = new java.util.ArrayList<LoadReport>(_list102.size);
 								@org.apache.thrift.annotation.Nullable
-								LoadReport _elem71;
-								for (int _i72 = 0; _i72 < _list70.size; ++_i72) {
-									_elem71 = new LoadReport();
-									_elem71.read(iprot);
-									struct.reports.add(_elem71);
+								LoadReport _elem103;
+								for (int _i104 = 0; _i104 < _list102.size; ++_i104) {
+									_elem103 = new LoadReport();
+									_elem103.read(iprot);
+									struct.reports.add(_elem103);
 								}
 								iprot.readListEnd();
 							}
@@ -411,8 +411,8 @@
 				{
 					oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT,
 							struct.reports.size()));
-					for (LoadReport _iter73 : struct.reports) {
-						_iter73.write(oprot);
+					for (LoadReport _iter105 : struct.reports) {
+						_iter105.write(oprot);
 					}
 					oprot.writeListEnd();
 				}
@@ -441,8 +441,8 @@
 			org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
 			{
 				oprot.writeI32(struct.reports.size());
-				for (LoadReport _iter74 : struct.reports) {
-					_iter74.write(oprot);
+				for (LoadReport _iter106 : struct.reports) {
+					_iter106.write(oprot);
 				}
 			}
 		}
@@ -452,14 +452,15 @@
 				throws org.apache.thrift.TException {
 			org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
 			{
-				org.apache.thrift.protocol.TList _list75 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-				struct.reports = new java.util.ArrayList<LoadReport>(_list75.size);
+				org.apache.thrift.protocol.TList _list107 = iprot
+					.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+				struct.reports = new java.util.ArrayList<LoadReport>(_list107.size);
 				@org.apache.thrift.annotation.Nullable
-				LoadReport _elem76;
-				for (int _i77 = 0; _i77 < _list75.size; ++_i77) {
-					_elem76 = new LoadReport();
-					_elem76.read(iprot);
-					struct.reports.add(_elem76);
+				LoadReport _elem108;
+				for (int _i109 = 0; _i109 < _list107.size; ++_i109) {
+					_elem108 = new LoadReport();
+					_elem108.read(iprot);
+					struct.reports.add(_elem108);
 				}
 			}
 			struct.setReportsIsSet(true);
--- a/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/LoadReport.java
+++ b/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/LoadReport.java
@@ -37,6 +37,9 @@
 	private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField(
 			"leaving", org.apache.thrift.protocol.TType.BOOL, (short) 7);
 
+	private static final org.apache.thrift.protocol.TField QUARANTINE_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"quarantine", org.apache.thrift.protocol.TType.STRUCT, (short) 8);
+
 	private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadReportStandardSchemeFactory();
 
 	private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadReportTupleSchemeFactory();
@@ -55,6 +58,8 @@
 
 	private boolean leaving; // optional
 
+	private @org.apache.thrift.annotation.Nullable QuarantineReport quarantine; // optional
+
 	/**
 	 * The set of fields this struct contains, along with convenience methods for finding
 	 * and manipulating them.
@@ -63,7 +68,7 @@
 
 		SENDER((short) 1, "sender"), INCARNATION((short) 2, "incarnation"), SEQUENCE((short) 3, "sequence"),
 		LOADS((short) 4, "loads"), MEMBERS((short) 5, "members"), RELAY((short) 6, "relay"),
-		LEAVING((short) 7, "leaving");
+		LEAVING((short) 7, "leaving"), QUARANTINE((short) 8, "quarantine");
 
 		private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -93,6 +98,8 @@
 					return RELAY;
 				case 7: // LEAVING
 					return LEAVING;
+				case 8: // QUARANTINE
+					return QUARANTINE;
 				default:
 					return null;
 			}
@@ -149,7 +156,8 @@
 
 	private byte __isset_bitfield = 0;
 
-	private static final _Fields optionals[] = { _Fields.LOADS, _Fields.MEMBERS, _Fields.RELAY, _Fields.LEAVING };
+	private static final _Fields optionals[] = { _Fields.LOADS, _Fields.MEMBERS, _Fields.RELAY, _Fields.LEAVING,
+			_Fields.QUARANTINE };
 
 	public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 	static {
@@ -186,6 +194,11 @@
 				new org.apache.thrift.meta_data.FieldMetaData("leaving",
 						org.apache.thrift.TFieldRequirementType.OPTIONAL,
 						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+		tmpMap.put(_Fields.QUARANTINE,
+				new org.apache.thrift.meta_data.FieldMetaData("quarantine",
+						org.apache.thrift.TFieldRequirementType.OPTIONAL,
+						new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
+								QuarantineReport.class)));
 		metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
 		org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadReport.class, metaDataMap);
 	}
@@ -228,6 +241,9 @@
 		}
 		this.relay = other.relay;
 		this.leaving = other.leaving;
+		if (other.isSetQuarantine()) {
+			this.quarantine = new QuarantineReport(other.quarantine);
+		}
 	}
 
 	@Override
@@ -248,6 +264,7 @@
 		this.relay = false;
 		setLeavingIsSet(false);
 		this.leaving = false;
+		this.quarantine = null;
 	}
 
 	@org.apache.thrift.annotation.Nullable
@@ -467,6 +484,34 @@
 		__isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVING_ISSET_ID, value);
 	}
 
+	@org.apache.thrift.annotation.Nullable
+	public QuarantineReport getQuarantine() {
+		return this.quarantine;
+	}
+
+	public LoadReport setQuarantine(@org.apache.thrift.annotation.Nullable QuarantineReport quarantine) {
+		this.quarantine = quarantine;
+		return this;
+	}
+
+	public void unsetQuarantine() {
+		this.quarantine = null;
+	}
+
+	/**
+	 * Returns true if field quarantine is set (has been assigned a value) and false
+	 * otherwise
+	 */
+	public boolean isSetQuarantine() {
+		return this.quarantine != null;
+	}
+
+	public void setQuarantineIsSet(boolean value) {
+		if (!value) {
+			this.quarantine = null;
+		}
+	}
+
 	@Override
 	public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
 		switch (field) {
@@ -533,6 +578,15 @@
 				}
 				break;
 
+			case QUARANTINE:
+				if (value == null) {
+					unsetQuarantine();
+				}
+				else {
+					setQuarantine((QuarantineReport) value);
+				}
+				break;
+
 		}
 	}
 
@@ -561,6 +615,9 @@
 			case LEAVING:
 				return isLeaving();
 
+			case QUARANTINE:
+				return getQuarantine();
+
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -590,6 +647,8 @@
 				return isSetRelay();
 			case LEAVING:
 				return isSetLeaving();
+			case QUARANTINE:
+				return isSetQuarantine();
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -670,6 +729,15 @@
 				return false;
 		}
 
+		boolean this_present_quarantine = true && this.isSetQuarantine();
+		boolean that_present_quarantine = true && that.isSetQuarantine();
+		if (this_present_quarantine || that_present_quarantine) {
+			if (!(this_present_quarantine && that_present_quarantine))
+				return false;
+			if (!this.quarantine.equals(that.quarantine))
+				return false;
+		}
+
 		return true;
 	}
 
@@ -701,6 +769,10 @@
 		if (isSetLeaving())
 			hashCode = hashCode * 8191 + ((leaving) ? 131071 : 524287);
 
+		hashCode = hashCode * 8191 + ((isSetQuarantine()) ? 131071 : 524287);
+		if (isSetQuarantine())
+			hashCode = hashCode * 8191 + quarantine.hashCode();
+
 		return hashCode;
 	}
 
@@ -782,6 +854,16 @@
 				return lastComparison;
 			}
 		}
+		lastComparison = java.lang.Boolean.compare(isSetQuarantine(), other.isSetQuarantine());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetQuarantine()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quarantine, other.quarantine);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
 		return 0;
 	}
 
@@ -862,6 +944,18 @@
 			sb.append(this.leaving);
 			first = false;
 		}
+		if (isSetQuarantine()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("quarantine:");
+			if (this.quarantine == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.quarantine);
+			}
+			first = false;
+		}
 		sb.append(")");
 		return sb.toString();
 	}
@@ -880,6 +974,9 @@
 		if (sender != null) {
 			sender.validate();
 		}
+		if (quarantine != null) {
+			quarantine.validate();
+		}
 	}
 
 	private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -958,14 +1055,14 @@
 					case 4: // LOADS
 						if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
 							{
-								org.apache.thrift.protocol.TList _list54 = iprot.readListBegin();
-								struct.loads = new java.util.ArrayList<UpstreamLoad>(_list54.size);
+								org.apache.thrift.protocol.TList _list86 = iprot.readListBegin();
+								struct.loads = new java.util.ArrayList<UpstreamLoad>(_list86.size);
 								@org.apache.thrift.annotation.Nullable
-								UpstreamLoad _elem55;
-								for (int _i56 = 0; _i56 < _list54.size; ++_i56) {
-									_elem55 = new UpstreamLoad();
-									_elem55.read(iprot);
-									struct.loads.add(_elem55);
+								UpstreamLoad _elem87;
+								for (int _i88 = 0; _i88 < _list86.size; ++_i88) {
+									_elem87 = new UpstreamLoad();
+									_elem87.read(iprot);
+									struct.loads.add(_elem87);
 								}
 								iprot.readListEnd();
 							}
@@ -978,14 +1075,14 @@
 					case 5: // MEMBERS
 						if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
 							{
-								org.apache.thrift.protocol.TList _list57 = iprot.readListBegin();
-								struct.members = new java.util.ArrayList<LoadEndpoint>(_list57.size);
+								org.apache.thrift.protocol.TList _list89 = iprot.readListBegin();
+								struct.members = new java.util.ArrayList<LoadEndpoint>(_list89.size);
 								@org.apache.thrift.annotation.Nullable
-								LoadEndpoint _elem58;
-								for (int _i59 = 0; _i59 < _list57.size; ++_i59) {
-									_elem58 = new LoadEndpoint();
-									_elem58.read(iprot);
-									struct.members.add(_elem58);
+								LoadEndpoint _elem90;
+								for (int _i91 = 0; _i91 < _list89.size; ++_i91) {
+									_elem90 = new LoadEndpoint();
+									_elem90.read(iprot);
+									struct.members.add(_elem90);
 								}
 								iprot.readListEnd();
 							}
@@ -1013,6 +1110,16 @@
 							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 						}
 						break;
+					case 8: // QUARANTINE
+						if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+							struct.quarantine = new QuarantineReport();
+							struct.quarantine.read(iprot);
+							struct.setQuarantineIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
 					default:
 						org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 				}
@@ -1056,8 +1163,8 @@
 					{
 						oprot.writeListBegin(new org.apache.thrift.protocol.TList(
 								org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-						for (UpstreamLoad _iter60 : struct.loads) {
-							_iter60.write(oprot);
+						for (UpstreamLoad _iter92 : struct.loads) {
+							_iter92.write(oprot);
 						}
 						oprot.writeListEnd();
 					}
@@ -1070,8 +1177,8 @@
 					{
 						oprot.writeListBegin(new org.apache.thrift.protocol.TList(
 								org.apache.thrift.protocol.TType.STRUCT, struct.members.size()));
-						for (LoadEndpoint _iter61 : struct.members) {
-							_iter61.write(oprot);
+						for (LoadEndpoint _iter93 : struct.members) {
+							_iter93.write(oprot);
 						}
 						oprot.writeListEnd();
 					}
@@ -1088,6 +1195,13 @@
 				oprot.writeBool(struct.leaving);
 				oprot.writeFieldEnd();
 			}
+			if (struct.quarantine != null) {
+				if (struct.isSetQuarantine()) {
+					oprot.writeFieldBegin(QUARANTINE_FIELD_DESC);
+					struct.quarantine.write(oprot);
+					oprot.writeFieldEnd();
+				}
+			}
 			oprot.writeFieldStop();
 			oprot.writeStructEnd();
 		}
@@ -1125,20 +1239,23 @@
 			if (struct.isSetLeaving()) {
 				optionals.set(3);
 			}
-			oprot.writeBitSet(optionals, 4);
+			if (struct.isSetQuarantine()) {
+				optionals.set(4);
+			}
+			oprot.writeBitSet(optionals, 5);
 			if (struct.isSetLoads()) {
 				{
 					oprot.writeI32(struct.loads.size());
-					for (UpstreamLoad _iter62 : struct.loads) {
-						_iter62.write(oprot);
+					for (UpstreamLoad _iter94 : struct.loads) {
+						_iter94.write(oprot);
 					}
 				}
 			}
 			if (struct.isSetMembers()) {
 				{
 					oprot.writeI32(struct.members.size());
-					for (LoadEndpoint _iter63 : struct.members) {
-						_iter63.write(oprot);
+					for (LoadEndpoint _iter95 : struct.members) {
+						_iter95.write(oprot);
 					}
 				}
 			}
@@ -1148,6 +1265,9 @@
 			if (struct.isSetLeaving()) {
 				oprot.writeBool(struct.leaving);
 			}
+			if (struct.isSetQuarantine()) {
+				struct.quarantine.write(oprot);
+			}
 		}
 
 		@Override
@@ -1161,33 +1281,33 @@
 			struct.setIncarnationIsSet(true);
 			struct.sequence = iprot.readI64();
 			struct.setSequenceIsSet(true);
-			java.util.BitSet incoming = iprot.readBitSet(4);
+			java.util.BitSet incoming = iprot.readBitSet(5);
 			if (incoming.get(0)) {
 				{
-					org.apache.thrift.protocol.TList _list64 = iprot
+					org.apache.thrift.protocol.TList _list96 = iprot
 						.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-					struct.loads = new java.util.ArrayList<UpstreamLoad>(_list64.size);
+					struct.loads = new java.util.ArrayList<UpstreamLoad>(_list96.size);
 					@org.apache.thrift.annotation.Nullable
-					UpstreamLoad _elem65;
-					for (int _i66 = 0; _i66 < _list64.size; ++_i66) {
-						_elem65 = new UpstreamLoad();
-						_elem65.read(iprot);
-						struct.loads.add(_elem65);
+					UpstreamLoad _elem97;
+					for (int _i98 = 0; _i98 < _list96.size; ++_i98) {
+						_elem97 = new UpstreamLoad();
+						_elem97.read(iprot);
+						struct.loads.add(_elem97);
 					}
 				}
 				struct.setLoadsIsSet(true);
 			}
 			if (incoming.get(1)) {
 				{
-					org.apache.thrift.protocol.TList _list67 = iprot
+					org.apache.thrift.protocol.TList _list99 = iprot
 						.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-					struct.members = new java.util.ArrayList<LoadEndpoint>(_list67.size);
+					struct.members = new java.util.ArrayList<LoadEndpoint>(_list99.size);
 					@org.apache.thrift.annotation.Nullable
-					LoadEndpoint _elem68;
-					for (int _i69 = 0; _i69 < _list67.size; ++_i69) {
-						_elem68 = new LoadEndpoint();
-						_elem68.read(iprot);
-						struct.members.add(_elem68);
+					LoadEndpoint _elem100;
+					for (int _i101 = 0; _i101 < _list99.size; ++_i101) {
+						_elem100 = new LoadEndpoint();
+						_elem100.read(iprot);
+						struct.members.add(_elem100);
 					}
 				}
 				struct.setMembersIsSet(true);
@@ -1200,6 +1320,11 @@
 				struct.leaving = iprot.readBool();
 				struct.setLeavingIsSet(true);
 			}
+			if (incoming.get(4)) {
+				struct.quarantine = new QuarantineReport();
+				struct.quarantine.read(iprot);
+				struct.setQuarantineIsSet(true);
+			}
 		}
 
 	}
--- a/org.cyclamenstall.wire/src/main/thrift/peer.thrift
+++ b/org.cyclamenstall.wire/src/main/thrift/peer.thrift
@@ -111,6 +111,37 @@
   4: optional i32 latencySensitive
 }
 
+/** Reports that an upstream crashed before it responded to requests with certain prompt parts. */
+struct CrashReport {
+  // Hash of the name and the incarnation of the upstream.
+  1: required i64 crash
+  2: required i64 ageMillis
+  // Hashes of the service and the identifier of the suspected parts.
+  3: required list<i64> parts
+}
+
+/** Reports that an upstream began to respond to a request with a prompt part. */
+struct PartSuccess {
+  1: required i64 part
+  2: required i64 ageMillis
+}
+
+/** Reports that a prompt part is quarantined. */
+struct QuarantineVerdict {
+  1: required i64 part
+  2: required i64 ageMillis
+  3: required i64 durationMillis
+  // Earlier quarantines that a new crash followed.
+  4: optional i32 repetitions
+}
+
+/** Holds what a daemon knows of prompt parts that crash upstreams. */
+struct QuarantineReport {
+  1: optional list<CrashReport> crashes
+  2: optional list<PartSuccess> successes
+  3: optional list<QuarantineVerdict> verdicts
+}
+
 /** Reports the work of a daemon at all upstreams. */
 struct LoadReport {
   1: required LoadEndpoint sender
@@ -122,6 +153,7 @@
   // The receiver forwards the report to the daemons of its failure domain.
   6: optional bool relay
   7: optional bool leaving
+  8: optional QuarantineReport quarantine
 }
 
 /** Holds the contents of one datagram: the report of the sender and those that it relays. */
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/ErrorKind.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/ErrorKind.java
@@ -101,6 +101,9 @@
 	/** No upstream has capacity to complete the request in time. */
 	UPSTREAMS_FULL,
 
+	/** A part of the prompt crashes upstreams and is quarantined. */
+	PROMPT_QUARANTINED,
+
 	/** The daemon is shutting down. */
 	SHUTTING_DOWN,
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
@@ -253,6 +253,45 @@
 
 	}
 
+	/**
+	 * An upstream lost the connection of a request before it responded, and parts of the
+	 * prompt are suspected.
+	 *
+	 * @param upstream the upstream
+	 * @param parts the identifiers of the parts that other requests may share, separated
+	 * by commas
+	 * @param suspects the keys of the suspected parts, each with the number of crashes of
+	 * which it is suspected, separated by commas
+	 */
+	record UpstreamCrashSuspected(String upstream, String parts, String suspects) implements Event {
+
+	}
+
+	/**
+	 * A prompt part was quarantined: requests with it are refused.
+	 *
+	 * @param part the key of the part
+	 * @param crashes the number of crashes that this daemon knows, or zero if another
+	 * daemon decided
+	 * @param repetitions the number of earlier quarantines of the part
+	 * @param durationMillis the duration of the quarantine
+	 * @param source whose evidence decided
+	 */
+	record PromptPartQuarantined(String part, int crashes, int repetitions, long durationMillis,
+			String source) implements Event {
+
+	}
+
+	/**
+	 * A quarantine ended because an upstream began to respond to a request with the part.
+	 *
+	 * @param part the key of the part
+	 * @param afterMillis the time since the quarantine began
+	 */
+	record PromptPartReleased(String part, long afterMillis) implements Event {
+
+	}
+
 	/**
 	 * The readiness of the daemon changed.
 	 *
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -23,6 +23,7 @@
 import org.cyclamenstall.internal.peers.load.LoadExchange;
 import org.cyclamenstall.internal.peers.load.LoadExchangeSettings;
 import org.cyclamenstall.internal.policy.placement.PlacementTrafficController;
+import org.cyclamenstall.internal.policy.quarantine.PromptQuarantine;
 import org.cyclamenstall.internal.routes.WatchedRouteTable;
 import org.cyclamenstall.internal.watch.StoreStaleness;
 import org.cyclamenstall.internal.watch.StoreWatcher;
@@ -97,10 +98,12 @@
 		watcher.addListener(this.routes);
 		watcher.addListener(this.hosts);
 		FleetLoad fleetLoad = new FleetLoad();
+		PromptQuarantine quarantine = new PromptQuarantine(random(), events);
+		registerGauge("cyclamenstall_quarantined_prompt_parts", "Prompt parts that crash upstreams.", quarantine::size);
 		this.services.register(ServiceNames.TRAFFIC, new PlacementTrafficController(settings.placement(), this.hosts,
-				settings.failureDomain(), fleetLoad, this.clock, random(), events, this.metrics));
+				settings.failureDomain(), fleetLoad, quarantine, this.clock, random(), events, this.metrics));
 		if (settings.loadExchange() != null) {
-			registerLoadExchange(settings.loadExchange(), fleetLoad);
+			registerLoadExchange(settings.loadExchange(), fleetLoad, quarantine);
 		}
 		RoutedCallerProtocol protocol = new RoutedCallerProtocol(this.routes, this.keyAuthorization,
 				deployment.requestHeaderCodec(), deployment.upstreamProtocol(), deployment.responseWriter(),
@@ -120,10 +123,11 @@
 				() -> this.routes.current().map(RouteTable::version).orElse(0L));
 	}
 
-	private void registerLoadExchange(LoadExchangeSettings exchangeSettings, FleetLoad fleetLoad) {
+	private void registerLoadExchange(LoadExchangeSettings exchangeSettings, FleetLoad fleetLoad,
+			PromptQuarantine quarantine) {
 		LoadExchange exchange = this.services.register(ServiceNames.LOAD_EXCHANGE,
 				new LoadExchange(exchangeSettings, this.settings.failureDomain(), this.incarnation,
-						controller()::localLoads, fleetLoad, this.clock, random()));
+						controller()::localLoads, fleetLoad, quarantine, this.clock, random()));
 		registerGauge("cyclamenstall_load_members", "Daemons that exchange their load, including this one.",
 				exchange::memberCount);
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
@@ -19,6 +19,8 @@
 import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.internal.policy.quarantine.PromptQuarantine;
+import org.cyclamenstall.internal.policy.quarantine.QuarantineReport;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.Service;
 import org.jspecify.annotations.Nullable;
@@ -58,6 +60,8 @@
 
 	private final FleetLoad fleetLoad;
 
+	private final PromptQuarantine quarantine;
+
 	private final MonotonicClock clock;
 
 	private final LoadMembers members;
@@ -89,17 +93,20 @@
 	 * @param incarnation the start time of this daemon, in milliseconds since the epoch
 	 * @param localLoads returns the load of this daemon
 	 * @param fleetLoad receives the load of the other daemons
+	 * @param quarantine provides what this daemon knows of prompt parts that crash
+	 * upstreams, and receives what the others know
 	 * @param clock the monotonic clock
 	 * @param random selects the daemons that relay reports
 	 */
 	public LoadExchange(LoadExchangeSettings settings, String failureDomain, long incarnation,
-			Supplier<List<UpstreamLoad>> localLoads, FleetLoad fleetLoad, MonotonicClock clock,
-			UniformRandomProvider random) {
+			Supplier<List<UpstreamLoad>> localLoads, FleetLoad fleetLoad, PromptQuarantine quarantine,
+			MonotonicClock clock, UniformRandomProvider random) {
 		this.settings = settings;
 		this.self = new LoadEndpoint(settings.address(), failureDomain);
 		this.incarnation = incarnation;
 		this.localLoads = localLoads;
 		this.fleetLoad = fleetLoad;
+		this.quarantine = quarantine;
 		this.clock = clock;
 		this.members = new LoadMembers(this.self,
 				settings.seeds().stream().map((seed) -> new LoadEndpoint(seed, "")).toList(), random);
@@ -171,25 +178,27 @@
 	private void sendReport() {
 		List<UpstreamLoad> loads = this.localLoads.get();
 		long nowNanos = this.clock.nanoTime();
+		QuarantineReport quarantineReport = this.quarantine.createReport(nowNanos);
 		this.fleetLoad.removeExpired(nowNanos);
 		synchronized (this.members) {
 			this.members.removeExpired(nowNanos);
 			this.memberCount = this.members.size();
-			sendReport(loads, nowNanos);
+			sendReport(loads, quarantineReport, nowNanos);
 		}
 	}
 
-	private void sendReport(List<UpstreamLoad> loads, long nowNanos) {
+	private void sendReport(List<UpstreamLoad> loads, QuarantineReport quarantineReport, long nowNanos) {
 		boolean heartbeatDue = nowNanos - this.lastHeartbeatAtNanos >= TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS);
-		boolean nothingNew = loads.isEmpty() && this.lastReportEmpty && !heartbeatDue;
-		this.lastReportEmpty = loads.isEmpty();
+		boolean empty = loads.isEmpty() && quarantineReport.isEmpty();
+		boolean nothingNew = empty && this.lastReportEmpty && !heartbeatDue;
+		this.lastReportEmpty = empty;
 		List<LoadReport> reports = new ArrayList<>(this.reportsToRelay.values());
 		this.reportsToRelay.clear();
 		if (!nothingNew) {
 			List<LoadEndpoint> namedMembers = heartbeatDue ? this.members.namedMembers() : List.of();
 			this.lastHeartbeatAtNanos = heartbeatDue ? nowNanos : this.lastHeartbeatAtNanos;
 			LoadReport report = new LoadReport(this.self, this.incarnation, ++this.sequence, loads, namedMembers, false,
-					false);
+					false, quarantineReport);
 			reports.add(report);
 			send(this.members.relayReceivers(), List.of(report.withRelay(true)));
 		}
@@ -248,6 +257,7 @@
 		if (report.sender().equals(this.self) || !this.fleetLoad.record(report, nowNanos)) {
 			return;
 		}
+		this.quarantine.merge(report.quarantine(), nowNanos);
 		synchronized (this.members) {
 			this.members.recordReport(report, nowNanos);
 			if (report.relay()) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReportCodec.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReportCodec.java
@@ -15,6 +15,7 @@
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.cyclamenstall.internal.policy.quarantine.QuarantineReport;
 import org.cyclamenstall.routes.RequestPriority;
 import org.cyclamenstall.wire.LoadDatagram;
 
@@ -88,6 +89,9 @@
 		}
 		message.setRelay(report.relay());
 		message.setLeaving(report.leaving());
+		if (!report.quarantine().isEmpty()) {
+			message.setQuarantine(QuarantineReportCodec.toWire(report.quarantine()));
+		}
 		return message;
 	}
 
@@ -103,7 +107,8 @@
 			}
 		}
 		return new LoadReport(fromWire(message.getSender()), message.getIncarnation(), message.getSequence(), loads,
-				members, message.isRelay(), message.isLeaving());
+				members, message.isRelay(), message.isLeaving(), message.isSetQuarantine()
+						? QuarantineReportCodec.fromWire(message.getQuarantine()) : QuarantineReport.EMPTY);
 	}
 
 	private static org.cyclamenstall.wire.LoadEndpoint toWire(LoadEndpoint endpoint) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/UpstreamLoad.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/UpstreamLoad.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.internal.peers.load;
 
+import org.cyclamenstall.internal.kernel.StableHash;
+
 /**
  * Describes the work that one daemon has at one upstream. Immutable; the array is not
  * modified.
@@ -12,22 +14,14 @@
  */
 public record UpstreamLoad(long upstreamKey, int running, int latencySensitive, int[] pendingTokens) {
 
-	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-
-	private static final long FNV_PRIME = 0x100000001b3L;
-
 	/**
 	 * Returns the key of an upstream, which is shorter than its name and the same on all
 	 * daemons.
 	 * @param host the name of the upstream
-	 * @return the 64-bit FNV-1a hash of the name
+	 * @return the hash of the name
 	 */
 	public static long keyOf(String host) {
-		long hash = FNV_OFFSET;
-		for (int index = 0; index < host.length(); index++) {
-			hash = (hash ^ host.charAt(index)) * FNV_PRIME;
-		}
-		return hash;
+		return StableHash.of(host);
 	}
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
@@ -127,6 +127,10 @@
 		return firstCall;
 	}
 
+	boolean hasReceivedFirstEvent() {
+		return this.firstEventReceived;
+	}
+
 	boolean markEnded() {
 		boolean firstCall = !this.ended;
 		this.ended = true;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementMetrics.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementMetrics.java
@@ -23,6 +23,8 @@
 
 	private final Histogram waitTimes;
 
+	private final Counter quarantineRefusals;
+
 	PlacementMetrics(PrometheusRegistry registry) {
 		this.retries = Counter.builder()
 			.name("cyclamenstall_placement_retries_total")
@@ -37,6 +39,14 @@
 			.classicOnly()
 			.classicUpperBounds(WAIT_BUCKETS_SECONDS)
 			.register(registry);
+		this.quarantineRefusals = Counter.builder()
+			.name("cyclamenstall_quarantine_refusals_total")
+			.help("Requests that were refused because a part of their prompt crashes upstreams.")
+			.register(registry);
+	}
+
+	void recordQuarantineRefusal() {
+		this.quarantineRefusals.inc();
 	}
 
 	void recordRetry(RetryReason reason, RetryDecision decision) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
@@ -94,6 +94,15 @@
 		return this.listener;
 	}
 
+	/**
+	 * Returns the service whose upstreams the request is placed on.
+	 * @return the name, empty if the request names none
+	 */
+	String service() {
+		String service = this.attributes.options().service();
+		return (service != null) ? service : "";
+	}
+
 	int priority() {
 		return this.attributes.options().priority();
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -21,6 +21,8 @@
 import org.cyclamenstall.internal.peers.load.FleetLoad;
 import org.cyclamenstall.internal.peers.load.UpstreamLoad;
 import org.cyclamenstall.internal.policy.DeferredCallbacks;
+import org.cyclamenstall.internal.policy.quarantine.PromptQuarantine;
+import org.cyclamenstall.internal.policy.quarantine.QuarantineRefusal;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.GrantListener;
@@ -66,6 +68,8 @@
 
 	private final OverloadPolicy overloadPolicy;
 
+	private final PromptQuarantine quarantine;
+
 	private final EventLog events;
 
 	private final PlacementMetrics metrics;
@@ -88,18 +92,20 @@
 	 * @param hosts the host list of the platform
 	 * @param failureDomain the failure domain of this daemon
 	 * @param fleetLoad the load of the other daemons
+	 * @param quarantine the prompt parts that crash upstreams
 	 * @param clock the monotonic clock
 	 * @param random the source of randomness
 	 * @param events the event log
 	 * @param registry the registry of the metrics
 	 */
 	public PlacementTrafficController(PlacementSettings settings, HostList hosts, String failureDomain,
-			FleetLoad fleetLoad, MonotonicClock clock, UniformRandomProvider random, EventLog events,
-			PrometheusRegistry registry) {
+			FleetLoad fleetLoad, PromptQuarantine quarantine, MonotonicClock clock, UniformRandomProvider random,
+			EventLog events, PrometheusRegistry registry) {
 		this.settings = settings;
 		this.hosts = hosts;
 		this.failureDomain = failureDomain;
 		this.fleetLoad = fleetLoad;
+		this.quarantine = quarantine;
 		this.clock = clock;
 		this.random = random;
 		this.overloadPolicy = new OverloadPolicy(random);
@@ -148,6 +154,9 @@
 			return;
 		}
 		pool.recordRequest(ticket.attributes(), nowNanos);
+		if (refuseQuarantined(ticket, nowNanos)) {
+			return;
+		}
 		pool.queue().add(ticket);
 		dispatchQueued(pool, nowNanos);
 		if (ticket.triedUpstreams().isEmpty()) {
@@ -169,6 +178,9 @@
 			return;
 		}
 		pool.queue().dispatch((ticket) -> {
+			if (refuseQuarantined(ticket, nowNanos)) {
+				return true;
+			}
 			PlacementUpstream upstream = pool.chooseForFirstAttempt(ticket, nowNanos);
 			if (upstream != null) {
 				this.metrics.recordWait(ticket.attributes().tier(), nowNanos - ticket.attributes().arrivalNanos());
@@ -178,6 +190,21 @@
 		});
 	}
 
+	private boolean refuseQuarantined(PlacementTicket ticket, long nowNanos) {
+		QuarantineRefusal refusal = this.quarantine.check(ticket.service(), ticket.attributes().options().prompt(),
+				nowNanos);
+		if (refusal == null) {
+			return false;
+		}
+		this.metrics.recordQuarantineRefusal();
+		refuse(ticket,
+				new Refusal(
+						ErrorKind.PROMPT_QUARANTINED, "The prompt part " + refusal.partId()
+								+ " crashes upstreams and is quarantined since " + refusal.sinceMillis() + " ms",
+						refusal.retryAfter()));
+		return true;
+	}
+
 	private void refuseUpstreamsFull(PlacementTicket ticket, double waitNanos, long nowNanos) {
 		refuse(ticket,
 				new Refusal(ErrorKind.UPSTREAMS_FULL,
@@ -282,6 +309,9 @@
 				|| ticket.unexecutedAttempts() > MAXIMUM_UNEXECUTED_RETRIES) {
 			return RetryDecision.ATTEMPTS_EXHAUSTED;
 		}
+		if (!this.quarantine.mayRetry(ticket.service(), ticket.attributes().options().prompt())) {
+			return RetryDecision.PROMPT_SUSPECTED;
+		}
 		PlacementPool pool = poolOf(ticket);
 		PlacementUpstream upstream = pool.chooseForRetry(ticket, nowNanos);
 		if (upstream == null) {
@@ -320,6 +350,8 @@
 				long nowNanos = this.clock.nanoTime();
 				PlacementPool pool = poolOf(grant.ticket());
 				pool.recordFirstEvent(grant, nowNanos);
+				this.quarantine.recordSuccess(grant.ticket().service(), grant.attributes().options().prompt(),
+						nowNanos);
 				dispatchQueued(pool, nowNanos);
 			}
 			return true;
@@ -344,6 +376,9 @@
 			grant.ticket()
 				.recordAttemptEnd(result == AttemptResult.UNREACHABLE || result == AttemptResult.REFUSED
 						|| result == AttemptResult.NOT_SENT);
+			if (result == AttemptResult.CONNECTION_LOST && !grant.hasReceivedFirstEvent()) {
+				this.quarantine.recordCrash(grant.upstream(), grant.attributes().options().prompt(), nowNanos);
+			}
 			PlacementPool pool = poolOf(grant.ticket());
 			pool.recordEnd(grant, result, nowNanos);
 			dispatchQueued(pool, nowNanos);
@@ -379,8 +414,7 @@
 	}
 
 	private PlacementPool poolOf(PlacementTicket ticket) {
-		String requestedService = ticket.attributes().options().service();
-		String service = (requestedService != null) ? requestedService : "";
+		String service = ticket.service();
 		PlacementPool pool = this.pools.get(service);
 		if (pool == null) {
 			pool = new PlacementPool(new LeastCostPlacement(this.failureDomain, this.fleetLoad, this.random),
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/quarantine/QuarantinedPart.java
@@ -0,0 +1,109 @@
+package org.cyclamenstall.internal.policy.quarantine;
+
+import java.time.Duration;
+
+/**
+ * State of a quarantined prompt part. After its duration a single request at a time is
+ * admitted as a probe; its result ends or repeats the quarantine. Not thread-safe.
+ */
+final class QuarantinedPart {
+
+	private static final Duration BASE_DURATION = Duration.ofMinutes(2);
+
+	private static final Duration MAXIMUM_DURATION = Duration.ofHours(1);
+
+	private static final int MAXIMUM_DOUBLINGS = 6;
+
+	/** Time after which a probe without a result is repeated. */
+	private static final long PROBE_TIMEOUT_NANOS = Duration.ofSeconds(10).toNanos();
+
+	/** Time without requests after the duration, after which the part is forgotten. */
+	private static final long FORGET_NANOS = Duration.ofMinutes(10).toNanos();
+
+	private final long startedAtNanos;
+
+	private final long durationNanos;
+
+	private final long probeDelayNanos;
+
+	private final int repetitions;
+
+	private boolean probed;
+
+	private long probedAtNanos;
+
+	/**
+	 * Creates the state.
+	 * @param startedAtNanos the start of the quarantine on the monotonic clock
+	 * @param durationNanos the duration, in nanoseconds
+	 * @param probeDelayNanos the time between the end of the duration and the first
+	 * probe, different on each daemon
+	 * @param repetitions the number of earlier quarantines
+	 */
+	QuarantinedPart(long startedAtNanos, long durationNanos, long probeDelayNanos, int repetitions) {
+		this.startedAtNanos = startedAtNanos;
+		this.durationNanos = durationNanos;
+		this.probeDelayNanos = probeDelayNanos;
+		this.repetitions = repetitions;
+	}
+
+	/**
+	 * Returns the duration of a quarantine, which doubles with each repetition.
+	 * @param repetitions the number of earlier quarantines
+	 * @return the duration in nanoseconds
+	 */
+	static long durationNanos(int repetitions) {
+		return Math.min(MAXIMUM_DURATION.toNanos(),
+				BASE_DURATION.toNanos() << Math.min(MAXIMUM_DOUBLINGS, repetitions));
+	}
+
+	/**
+	 * Admits a request as a probe, if it is time for one and none is in progress.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return {@code true} if the request may be sent
+	 */
+	boolean admitProbe(long nowNanos) {
+		boolean due = remainingNanos(nowNanos) + this.probeDelayNanos <= 0;
+		if (!due || (this.probed && nowNanos - this.probedAtNanos < PROBE_TIMEOUT_NANOS)) {
+			return false;
+		}
+		this.probed = true;
+		this.probedAtNanos = nowNanos;
+		return true;
+	}
+
+	boolean isProbed() {
+		return this.probed;
+	}
+
+	/**
+	 * Returns the remaining duration, negative after its end.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the time in nanoseconds
+	 */
+	long remainingNanos(long nowNanos) {
+		return this.startedAtNanos + this.durationNanos - nowNanos;
+	}
+
+	boolean isForgotten(long nowNanos) {
+		return remainingNanos(nowNanos) < -FORGET_NANOS;
+	}
+
+	long startedAtNanos() {
+		return this.startedAtNanos;
+	}
+
+	long ageMillis(long nowNanos) {
+		return Math.max(0, Duration.ofNanos(nowNanos - this.startedAtNanos).toMillis());
+	}
+
+	int repetitions() {
+		return this.repetitions;
+	}
+
+	QuarantineVerdict verdict(long part, long nowNanos) {
+		return new QuarantineVerdict(part, ageMillis(nowNanos), Duration.ofNanos(this.durationNanos).toMillis(),
+				this.repetitions);
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RetryDecision.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RetryDecision.java
@@ -19,6 +19,9 @@
 	/** No suitable upstream is available. */
 	NO_UPSTREAM,
 
+	/** A part of the prompt is suspected of crashing upstreams. */
+	PROMPT_SUSPECTED,
+
 	/** The request may have been executed and must not be executed twice. */
 	NOT_REPEATABLE,
 
