Discard the rest of a long body after a refusal

A caller that sent a long body on a kept connection and was refused before its end (401, 413) got its connection reset while it was sending, which can discard the refusal.

Cause: the server ended the discarding of the rest at its own limit for bodies of 2 MiB, with the connection.

Evidence: a caller that sends 16 MiB before it reads, with a length and in chunks, refused with 401 and 413: all four cases failed with a reset before, and pass now. Bodies of 1 MiB passed before. A body in chunks without an end got 408 at the deadline for bodies, although it was already too large; it gets 413 at once, and its request still ends at the deadline.

Ruled out: a body of 3 MiB within the configured limit was not refused before.

Change: the server has no limit of its own; the limit of the configuration is checked while a body is received, and the deadline for bodies limits the time in which the rest is discarded.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/BodyDeadline.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/BodyDeadline.java
@@ -54,4 +54,12 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the deadline was exceeded or stopped.
+	 * @return {@code true} if the timer no longer runs
+	 */
+	boolean isFinished() {
+		return this.finished;
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -67,21 +67,40 @@
 		try {
 			AcceptedRequest acceptedRequest = this.protocol.acceptHeaders(exchange, requestId);
 			checkBodySize(exchange.getRequestContentLength(), acceptedRequest);
-			exchange.getRequestReceiver().receiveFullBytes((readExchange, body) -> {
-				if (deadline.stop()) {
-					onBody(readExchange, acceptedRequest, requestId, body);
-				}
-			}, (failedExchange, ex) -> {
-				if (deadline.stop()) {
-					onBodyFailure(failedExchange, acceptedRequest, requestId, ex);
-				}
-			});
+			receiveBody(exchange, acceptedRequest, requestId, deadline);
 		}
 		catch (RouterException ex) {
 			refuse(exchange, requestId, ex);
 		}
 	}
 
+	private void receiveBody(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId,
+			BodyDeadline deadline) {
+		Receiver receiver = exchange.getRequestReceiver();
+		receiver.setMaxBufferSize(acceptedRequest.maximumBodyBytes());
+		receiver.receiveFullBytes((readExchange, body) -> {
+			if (deadline.stop()) {
+				onBody(readExchange, acceptedRequest, requestId, body);
+			}
+		}, (failedExchange, ex) -> {
+			if (ex instanceof Receiver.RequestToLargeException) {
+				onBodyTooLarge(failedExchange, acceptedRequest, requestId, deadline);
+			}
+			else if (deadline.stop()) {
+				onBodyFailure(failedExchange, requestId, ex);
+			}
+		});
+	}
+
+	// The deadline is not stopped: it limits the time in which the rest of the body is
+	// discarded.
+	private void onBodyTooLarge(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId,
+			BodyDeadline deadline) {
+		if (!deadline.isFinished()) {
+			refuse(exchange, requestId, tooLarge(acceptedRequest));
+		}
+	}
+
 	private void onBody(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId, byte[] body) {
 		try {
 			checkBodySize(body.length, acceptedRequest);
@@ -103,17 +122,11 @@
 		}
 	}
 
-	private void onBodyFailure(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId,
-			IOException ex) {
-		if (ex instanceof Receiver.RequestToLargeException) {
-			refuse(exchange, requestId, tooLarge(acceptedRequest));
-		}
-		else {
-			logger.debug("Caller of request {} disconnected before the end of the body", requestId, ex);
-			this.services.metrics().recordCallerDisconnect();
-			exchange.setPersistent(false);
-			exchange.endExchange();
-		}
+	private void onBodyFailure(HttpServerExchange exchange, String requestId, IOException ex) {
+		logger.debug("Caller of request {} disconnected before the end of the body", requestId, ex);
+		this.services.metrics().recordCallerDisconnect();
+		exchange.setPersistent(false);
+		exchange.endExchange();
 	}
 
 	/**
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -42,6 +42,8 @@
 
 	private static final int BUFFER_BYTES = 16_384;
 
+	private static final long UNLIMITED = -1;
+
 	private static final int CLAIM_THREADS = 16;
 
 	private static final int LISTEN_BACKLOG = 1_000;
@@ -241,8 +243,11 @@
 		this.blockingExecutor.shutdownNow();
 	}
 
+	// The handler limits the bodies. A limit of the server would also end the discarding
+	// of the rest of a body whose request was refused, and the connection with it.
 	private static OptionMap serverOptions(int headerBytes, Duration headerTimeout) {
 		return OptionMap.builder()
+			.set(UndertowOptions.MAX_ENTITY_SIZE, UNLIMITED)
 			.set(UndertowOptions.MAX_HEADER_SIZE, headerBytes)
 			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, positiveMillis(headerTimeout))
 			.getMap();
