Close a refused connection only after its body was discarded

A caller that sent a long body with Connection: close and was refused before its end got its connection reset while it was sending, which can discard the refusal.

Cause: the server closes the receiving half of a connection that it will not keep as soon as the response is written; the bytes that still arrive cause a reset.

Evidence: a caller that sends 16 MiB before it reads, with a length and in chunks, refused with 401 and 413: all four cases failed with a reset before, and pass now.

Ruled out: keeping the announcement of the close in the response; the server then closes the receiving half at once, and the four cases still failed.

Change: a refusal before the end of the body is sent as if the connection were kept, so the rest of the body is discarded, within its deadline; the connection is closed afterwards. Such a refusal no longer announces the close.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/EarlyRefusalTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/EarlyRefusalTests.java
@@ -43,7 +43,7 @@
 	static Stream<Arguments> refusedRequests() {
 		return Stream.of(1_048_576, 16 * 1_048_576)
 			.flatMap((length) -> Stream.of(true, false)
-				.flatMap((chunked) -> Stream.of("keep-alive")
+				.flatMap((chunked) -> Stream.of("close", "keep-alive")
 					.flatMap((connection) -> Stream.of(Arguments.of(401, "wrong", length, chunked, connection),
 							Arguments.of(413, "secret", length, chunked, connection)))));
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -167,7 +167,24 @@
 		this.services.metrics().recordError(ex.kind(), ErrorTable.responseFor(ex.kind()).outcome());
 		String detail = (ex.getMessage() != null) ? ex.getMessage() : ex.kind().code();
 		this.services.events().record(this.protocol.refusalEvent(requestId, ex.kind(), detail));
+		closeAfterRequest(exchange);
 		this.services.writer().writeError(exchange, requestId, ErrorReport.of(ex.kind(), detail));
 	}
 
+	// Delays the close of a connection until the body was discarded or its deadline was
+	// exceeded. A close with unread bytes resets the connection, which can discard the
+	// response. The header that announces the close is left out, because with it the
+	// server would close the receiving half at once.
+	private static void closeAfterRequest(HttpServerExchange exchange) {
+		if (exchange.isPersistent() || exchange.isRequestComplete()) {
+			return;
+		}
+		exchange.setPersistent(true);
+		exchange.getResponseHeaders().remove(Headers.CONNECTION);
+		exchange.addExchangeCompleteListener((completedExchange, next) -> {
+			completedExchange.setPersistent(false);
+			next.proceed();
+		});
+	}
+
 }
