Notify all listeners of the host list, whatever one throws

An exception of one listener of the host list kept the new list from the listeners after it and counted as a failure of the store, although the store was healthy. The records were already stored, so the next listing would not count as a change.

No listener is known to throw; this was found by reading.

Change: an exception is logged for each listener, and the others are notified.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchedHostList.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchedHostList.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.events.Event;
 import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.HostCodec;
@@ -34,6 +36,8 @@
  */
 public final class WatchedHostList implements HostList, StoreListener {
 
+	private static final Logger logger = LogManager.getLogger(WatchedHostList.class);
+
 	/**
 	 * Time that a running upstream has to register again after an outage of the store.
 	 */
@@ -243,7 +247,18 @@
 		});
 		HostSnapshot newSnapshot = new HostSnapshot(byService);
 		this.snapshot = newSnapshot;
-		this.listeners.forEach((listener) -> listener.accept(newSnapshot));
+		this.listeners.forEach((listener) -> notifyListener(listener, newSnapshot));
+	}
+
+	// An exception of a listener is no failure of the store, and the records would not
+	// count as changed in the next listing.
+	private static void notifyListener(Consumer<HostSnapshot> listener, HostSnapshot newSnapshot) {
+		try {
+			listener.accept(newSnapshot);
+		}
+		catch (RuntimeException ex) {
+			logger.error("A listener of the host list threw an exception", ex);
+		}
 	}
 
 }
