Continue the ticks of the placement controller after an exception

After an exception in a tick, queued requests were neither granted nor refused until another request was queued.

Cause: a tick schedules the next one as its last step.

No report names such an exception; this was found by reading.

Change: a tick that failed is scheduled again.

Left out: grants that were decided before the exception are delivered with the next call. No test could show that case apart from this one.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
@@ -55,6 +55,10 @@
 
 	final PlacementTrafficController controller;
 
+	/** Called for each event after it was recorded. */
+	volatile Consumer<Event> eventListener = (event) -> {
+	};
+
 	private int requestCount;
 
 	PlacementFixture(int upstreams, String failureDomain, long seed) {
@@ -70,7 +74,10 @@
 		this.quarantine = new PromptQuarantine(RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.events::add);
 		this.controller = new PlacementTrafficController(new PlacementSettings(10_000, 0.16, FLEET_RETRIES),
 				new FixtureHostList(), failureDomain, this.fleetLoad, this.quarantine, clock,
-				RandomSource.XO_RO_SHI_RO_128_PP.create(seed), this.events::add, new PrometheusRegistry());
+				RandomSource.XO_RO_SHI_RO_128_PP.create(seed), (event) -> {
+					this.events.add(event);
+					this.eventListener.accept(event);
+				}, new PrometheusRegistry());
 		this.controller.start();
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -229,9 +229,15 @@
 		}
 		catch (RuntimeException ex) {
 			logger.error("Periodic processing of queued requests failed", ex);
+			rescheduleTick();
 		}
 	}
 
+	private synchronized void rescheduleTick() {
+		this.tickScheduled = false;
+		scheduleTick();
+	}
+
 	/**
 	 * Processes the queues: marks requests that missed their objective, dispatches those
 	 * for which an upstream has room, and refuses those that cannot complete in time.
