Announce the close of a connection in refusals of a daemon that shuts down

A shutdown announces the close as it did before; the rest of a long body may then still be reset, as before. Not shown by a test of its own: EarlyRefusalTests covers the calls outside a shutdown.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -167,14 +167,17 @@
 		this.services.metrics().recordError(ex.kind(), ErrorTable.responseFor(ex.kind()).outcome());
 		String detail = (ex.getMessage() != null) ? ex.getMessage() : ex.kind().code();
 		this.services.events().record(this.protocol.refusalEvent(requestId, ex.kind(), detail));
-		closeAfterRequest(exchange);
+		if (!this.closeAfterResponse.getAsBoolean()) {
+			closeAfterRequest(exchange);
+		}
 		this.services.writer().writeError(exchange, requestId, ErrorReport.of(ex.kind(), detail));
 	}
 
 	// Delays the close of a connection until the body was discarded or its deadline was
 	// exceeded. A close with unread bytes resets the connection, which can discard the
 	// response. The header that announces the close is left out, because with it the
-	// server would close the receiving half at once.
+	// server would close the receiving half at once. A daemon that shuts down announces
+	// the close, so that its callers do not use the connection again.
 	private static void closeAfterRequest(HttpServerExchange exchange) {
 		if (exchange.isPersistent() || exchange.isRequestComplete()) {
 			return;
