Keep a response that is not the rest of a stream out of that stream

Callers of a resumable stream that had begun were left hanging: the first worker broke off, the next one responded with a whole response (400, 404, 302, a signed 200 that is no stream, with or without a body, with or without a length), and the connection was neither closed nor continued.

Cause, from reading the code: onResponse compared only the status with those that count as a failure. Any other whole response ended the request, which cancels its timers, and was then passed to the writer of a second response for an exchange whose response channel was already in use.

Evidence: InterruptedStreamTests, with the real daemon, scripted workers and 13 kinds of response, with and without a further attempt.

Ruled out by the same tests before the change: 500, 503 without a declaration, unsigned responses and streams of foreign events or of plain text (handled as failures), and a resumed stream with other headers (it keeps the first head). Whether a part of the text reached the caller before the change is not known: the tests ended before they compared it.

Change: once a stream has begun, every whole response is a failed attempt: the stream is resumed at another worker if that is allowed, and otherwise broken off without the last chunk. The reason of that retry is the interrupted stream, as for a lost connection.

Why it works: only events of a resumed stream can follow the events of a stream; no other path writes to an exchange whose response has begun.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -189,7 +189,7 @@
 	void onResponse(AttemptExecution attempt, BufferedResponse response) {
 		String upstream = attempt.grant().upstream().host();
 		RequestEventRecorder.Attempt endedAttempt = this.recorder.recordAttempt(attempt.grant());
-		if (this.request.upstreamRequest().retriesErrorResponses() && FailureStatuses.isFailure(response.status())) {
+		if (this.relay.isStreaming() || isRetriedErrorResponse(response)) {
 			onErrorResponse(attempt, upstream, response);
 			this.recorder.recordErrorResponse(endedAttempt, response.status(),
 					hasEnded() ? "passed on" : "tried again");
@@ -204,14 +204,20 @@
 		sendResponse(upstream, response);
 	}
 
-	// Retries on another upstream after an error response. If no retry is allowed, the
-	// response is forwarded, unless a stream has started or the status implies that the
-	// request was not executed.
+	private boolean isRetriedErrorResponse(BufferedResponse response) {
+		return this.request.upstreamRequest().retriesErrorResponses() && FailureStatuses.isFailure(response.status());
+	}
+
+	// Retries on another upstream after an error response, or after any response that is
+	// not the rest of a stream that has started. If no retry is allowed, the response is
+	// forwarded, unless a stream has started or the status implies that the request was
+	// not executed.
 	private void onErrorResponse(AttemptExecution attempt, String upstream, BufferedResponse response) {
 		attempt.end(AttemptResult.FAILED);
 		this.mayHaveRun = true;
 		this.lastInconclusiveFailure = ErrorKind.UPSTREAM_FAILED;
-		if (hasEnded() || !this.attempts.isEmpty() || retryIfAllowed(RetryReason.FAILED) == RetryDecision.GRANTED) {
+		RetryReason reason = this.relay.isStreaming() ? RetryReason.STREAM_CUT : RetryReason.FAILED;
+		if (hasEnded() || !this.attempts.isEmpty() || retryIfAllowed(reason) == RetryDecision.GRANTED) {
 			return;
 		}
 		if (this.relay.isStreaming() || FailureStatuses.impliesNotRun(response.status())) {
