Keep a silent attempt until its replacement responds

What callers saw: a stream that had begun was given up for a replacement that was granted but then refused by a full engine, and was cut.

Change: Ticket.replace leaves the grant of the silent attempt alone. Both attempts run until the replacement responds, the silent one goes on, or 250 ms after the replacement was sent; then one of them is cancelled. A replacement is placed only on a healthy upstream with a free slot. The silence is recorded in the health of its upstream once, whatever is decided; a denied replacement left a hung upstream in good health. Exceptions of the event log at failed attempts are tolerated.

Why it works: a refusal or a failed connection arrives within the overlap, and the silent attempt is still there. The overlap is bounded, so a request is not executed at two upstreams for longer.

Open: a replacement that fails after the overlap, with no attempt left, still ends the stream. Before the first event nothing changed.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptSet.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptSet.java
@@ -22,6 +22,10 @@
 		this.attempts.remove(attempt);
 	}
 
+	boolean contains(AttemptExecution attempt) {
+		return this.attempts.contains(attempt);
+	}
+
 	boolean isEmpty() {
 		return this.attempts.isEmpty();
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestEventRecorder.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestEventRecorder.java
@@ -64,13 +64,13 @@
 
 	/**
 	 * Records the event of an attempt whose upstream is silent in the middle of a stream.
-	 * @param attempt the identity of the attempt
+	 * @param grant the grant of the attempt
 	 * @param detail the detail message
-	 * @param decision whether the attempt is replaced, or why it goes on
+	 * @param decision whether the attempt is to be replaced, or why it is not
 	 */
-	void recordSilentAttempt(Attempt attempt, String detail, RetryDecision decision) {
-		recordAttemptFailure(attempt, AttemptFailure.TIMED_OUT, detail,
-				(decision == RetryDecision.GRANTED) ? "tried again" : "goes on: " + decision.label());
+	void recordSilentAttempt(Grant grant, String detail, RetryDecision decision) {
+		recordAttemptFailure(recordAttempt(grant), AttemptFailure.TIMED_OUT, detail, (decision == RetryDecision.GRANTED)
+				? "tried again, goes on meanwhile" : "goes on: " + decision.label());
 	}
 
 	void recordErrorResponse(Attempt attempt, int status, String next) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -41,6 +41,13 @@
 
 	private static final int STATUS_OK = 200;
 
+	/**
+	 * Maximum time for which a silent attempt runs beside the one that replaces it. Long
+	 * enough for an upstream to refuse, short enough that a request is not executed twice
+	 * in parallel for longer.
+	 */
+	private static final Duration MAXIMUM_OVERLAP = Duration.ofMillis(250);
+
 	private final HttpServerExchange exchange;
 
 	private final CallerRequest request;
@@ -61,6 +68,8 @@
 
 	private final AttemptSet attempts = new AttemptSet();
 
+	private final AttemptReplacement replacement = new AttemptReplacement();
+
 	private final RequestTimers timers;
 
 	private @Nullable Ticket ticket;
@@ -207,7 +216,7 @@
 	 * @param attempt the attempt that has the grant
 	 */
 	void onGranted(AttemptExecution attempt) {
-		if (hasEnded()) {
+		if (hasEnded() || !this.attempts.contains(attempt)) {
 			attempt.end(AttemptResult.NOT_SENT);
 		}
 		else if (this.claim.isPending()) {
@@ -254,10 +263,14 @@
 			return false;
 		}
 		this.sendingBegan = true;
+		if (this.replacement.isReplacing(attempt)) {
+			schedule(MAXIMUM_OVERLAP, () -> endSilentAttempt(attempt));
+		}
 		return this.lifecycle.moveTo(RequestState.SENDING);
 	}
 
 	void onStreamStarted(AttemptExecution attempt, ResponseHead responseHead) {
+		endSilentAttempt(attempt);
 		if (!selectWinner(attempt) || this.relay.isStreaming()) {
 			return;
 		}
@@ -269,6 +282,9 @@
 		if (!this.relay.isStreaming() || attempt != this.winner) {
 			return;
 		}
+		if (this.replacement.isSilent(attempt)) {
+			endReplacement();
+		}
 		tolerate(() -> this.progress.recordEvent(attempt.grant(), event));
 		this.relay.writeEvent(event);
 		if (this.relay.isBlocked()) {
@@ -329,46 +345,70 @@
 	}
 
 	/**
-	 * Replaces an attempt whose upstream is silent, once a part of the stream was
-	 * relayed. If no other attempt is allowed, the silent one goes on: its upstream may
-	 * only pause, and the stream could not be completed otherwise. The timeout of the
-	 * response still limits it.
+	 * Requests an attempt that replaces one whose upstream is silent, once a part of the
+	 * stream was relayed. The silent attempt goes on meanwhile, because its upstream may
+	 * only pause: until the replacement responds, or for {@link #MAXIMUM_OVERLAP} after
+	 * it was sent. If no other attempt is allowed or the replacement fails, it goes on
+	 * until the timeout of the response.
 	 * @param attempt the silent attempt
 	 * @param detail the detail message
-	 * @return {@code false} if the attempt must fail, because no part was relayed or the
-	 * request has no timeout of its own
+	 * @return {@code false} if the attempt must fail, because no part was relayed or its
+	 * timeouts are final
 	 */
 	boolean continuesAfterTimeout(AttemptExecution attempt, String detail) {
 		if (hasEnded() || !this.relay.isStreaming() || !isResumable()
 				|| this.request.upstreamRequest().timeoutsAreFinal()) {
 			return false;
 		}
-		RequestEventRecorder.Attempt silentAttempt = this.recorder.recordAttempt(attempt.grant());
-		RetryDecision decision = replace(attempt);
-		tolerate(() -> this.recorder.recordSilentAttempt(silentAttempt, detail, decision));
+		if (!this.replacement.isPending()) {
+			RetryDecision decision = requestReplacement(attempt);
+			tolerate(() -> this.recorder.recordSilentAttempt(attempt.grant(), detail, decision));
+		}
 		return true;
 	}
 
-	private RetryDecision replace(AttemptExecution attempt) {
+	private RetryDecision requestReplacement(AttemptExecution attempt) {
 		Ticket currentTicket = this.ticket;
 		if (currentTicket == null || this.callerDisconnected) {
 			return RetryDecision.CALLER_DISCONNECTED;
 		}
-		AttemptExecution replacement = new AttemptExecution(this, this.thread);
-		this.attempts.add(replacement);
-		RetryDecision decision = currentTicket.replace(attempt.grant(), RetryReason.STREAM_CUT, replacement);
+		AttemptExecution newAttempt = new AttemptExecution(this, this.thread);
+		this.attempts.add(newAttempt);
+		RetryDecision decision = currentTicket.replace(attempt.grant(), RetryReason.STREAM_CUT, newAttempt);
 		if (decision != RetryDecision.GRANTED) {
-			this.attempts.remove(replacement);
+			this.attempts.remove(newAttempt);
 			return decision;
 		}
-		this.mayHaveRun = true;
-		this.lastInconclusiveFailure = ErrorKind.UPSTREAM_TIMEOUT;
-		this.winner = null;
-		attempt.end(AttemptResult.TIMED_OUT);
+		this.replacement.begin(attempt, newAttempt);
 		tolerate(() -> this.recorder.recordResume(RetryReason.STREAM_CUT));
 		return decision;
 	}
 
+	// The response goes on with the replacement.
+	private void endSilentAttempt(AttemptExecution newAttempt) {
+		AttemptExecution silentAttempt = this.replacement.silentAttempt();
+		if (silentAttempt == null || !this.replacement.isReplacing(newAttempt)) {
+			return;
+		}
+		this.mayHaveRun = true;
+		this.lastInconclusiveFailure = ErrorKind.UPSTREAM_TIMEOUT;
+		if (this.winner == silentAttempt) {
+			this.winner = null;
+		}
+		silentAttempt.end(AttemptResult.TIMED_OUT);
+	}
+
+	// The response goes on with the attempt that was silent.
+	private void endReplacement() {
+		AttemptExecution newAttempt = this.replacement.newAttempt();
+		if (newAttempt == null) {
+			return;
+		}
+		this.replacement.forget(newAttempt);
+		this.attempts.remove(newAttempt);
+		newAttempt.end(newAttempt.hasStartedSending() ? AttemptResult.CANCELLED : AttemptResult.NOT_SENT);
+	}
+
 	void onAttemptFailed(AttemptExecution attempt, AttemptFailure failure, String detail) {
 		RequestEventRecorder.Attempt endedAttempt = this.recorder.recordAttempt(attempt.grant());
 		attempt.end(failure.attemptResult());
@@ -383,12 +423,13 @@
 			this.winner = null;
 		}
 		if (hasEnded() || !this.attempts.isEmpty()) {
-			this.recorder.recordAttemptFailure(endedAttempt, failure, detail, "another attempt goes on");
+			tolerate(
+					() -> this.recorder.recordAttemptFailure(endedAttempt, failure, detail, "another attempt goes on"));
 			return;
 		}
 		boolean interrupted = this.relay.isStreaming() && !failure.provesNotRun();
 		RetryDecision decision = retryIfAllowed(interrupted ? RetryReason.STREAM_CUT : failure.retryReason());
-		this.recorder.recordAttemptFailure(endedAttempt, failure, detail, decision);
+		tolerate(() -> this.recorder.recordAttemptFailure(endedAttempt, failure, detail, decision));
 		if (decision != RetryDecision.GRANTED) {
 			fail(failure.errorKind(), detail);
 		}
@@ -419,6 +460,7 @@
 	 */
 	void onGrantReleased(AttemptExecution attempt) {
 		this.attempts.remove(attempt);
+		this.replacement.forget(attempt);
 		finishTicket();
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
@@ -32,6 +32,8 @@
 
 	private boolean firstEventReceived;
 
+	private boolean silent;
+
 	private boolean ended;
 
 	PlacementGrant(PlacementTrafficController controller, PlacementTicket ticket, PlacementUpstream upstream,
@@ -127,6 +129,20 @@
 		return firstCall;
 	}
 
+	/**
+	 * Records that the upstream was silent for longer than a timeout.
+	 * @return {@code true} for the first call
+	 */
+	boolean markSilent() {
+		boolean firstCall = !this.silent;
+		this.silent = true;
+		return firstCall;
+	}
+
+	boolean isSilent() {
+		return this.silent;
+	}
+
 	boolean hasReceivedFirstEvent() {
 		return this.firstEventReceived;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -1,7 +1,6 @@
 package org.cyclamenstall.internal.policy.placement;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -179,7 +178,20 @@
 	 * @return the upstream, or {@code null} if all live upstreams were tried
 	 */
 	@Nullable PlacementUpstream chooseForRetry(PlacementTicket ticket, long nowNanos) {
-		return choose(ticket, (upstream) -> true, nowNanos);
+		return choose(ticket, untriedUpstreams(ticket), (upstream) -> true, nowNanos);
+	}
+
+	/**
+	 * Chooses the upstream of an attempt that replaces a silent one, among the healthy
+	 * ones that have a free slot.
+	 * @param ticket the request
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the upstream, or {@code null} if there is none
+	 */
+	@Nullable PlacementUpstream chooseForReplacement(PlacementTicket ticket, long nowNanos) {
+		List<PlacementUpstream> healthy = healthy(untriedUpstreams(ticket), nowNanos);
+		return this.strategy.choose(healthy, PlacementUpstream::hasFreeSlot, this.partition, this.engineSpeed,
+				ticket.attributes(), nowNanos);
 	}
 
 	/**
@@ -191,7 +203,8 @@
 	 */
 	@Nullable PlacementUpstream chooseForFirstAttempt(PlacementTicket ticket, long nowNanos) {
 		double referenceTokens = windowReferenceTokens(ticket);
-		return choose(ticket, (upstream) -> upstream.hasRoom(ticket, referenceTokens, nowNanos), nowNanos);
+		return choose(ticket, untriedUpstreams(ticket),
+				(upstream) -> upstream.hasRoom(ticket, referenceTokens, nowNanos), nowNanos);
 	}
 
 	/**
@@ -210,20 +223,23 @@
 				this.engineSpeed.promptTokensIn(objective.toNanos() * WINDOW_OBJECTIVE_SHARE));
 	}
 
-	private @Nullable PlacementUpstream choose(PlacementTicket ticket, Predicate<PlacementUpstream> hasRoom,
-			long nowNanos) {
-		List<PlacementUpstream> untried = new ArrayList<>();
-		List<PlacementUpstream> healthy = new ArrayList<>();
-		for (PlacementUpstream upstream : this.upstreamsByName.values()) {
-			if (!upstream.isLive() || ticket.triedUpstreams().contains(upstream)) {
-				continue;
-			}
-			untried.add(upstream);
+	private List<PlacementUpstream> untriedUpstreams(PlacementTicket ticket) {
+		return this.upstreamsByName.values()
+			.stream()
+			.filter((upstream) -> upstream.isLive() && !ticket.triedUpstreams().contains(upstream))
+			.toList();
+	}
+
+	private static List<PlacementUpstream> healthy(List<PlacementUpstream> upstreams, long nowNanos) {
+		return upstreams.stream().filter((upstream) -> {
 			boolean probeInFlight = upstream.health().isHalfOpen(nowNanos) && upstream.inFlight() > 0;
-			if (!upstream.health().isEjected(nowNanos) && !probeInFlight) {
-				healthy.add(upstream);
-			}
-		}
+			return !upstream.health().isEjected(nowNanos) && !probeInFlight;
+		}).toList();
+	}
+
+	private @Nullable PlacementUpstream choose(PlacementTicket ticket, List<PlacementUpstream> untried,
+			Predicate<PlacementUpstream> hasRoom, long nowNanos) {
+		List<PlacementUpstream> healthy = healthy(untried, nowNanos);
 		return this.strategy.choose(healthy.isEmpty() ? untried : healthy, hasRoom, this.partition, this.engineSpeed,
 				ticket.attributes(), nowNanos);
 	}
@@ -284,6 +300,23 @@
 		}
 	}
 
+	/**
+	 * Records that an upstream is silent in the middle of a stream; once for each
+	 * attempt.
+	 * @param grant the grant of the attempt
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void recordSilence(PlacementGrant grant, long nowNanos) {
+		if (grant.markSilent()) {
+			recordLateness(grant.placementUpstream(), nowNanos);
+		}
+	}
+
+	private static void recordLateness(PlacementUpstream upstream, long nowNanos) {
+		upstream.health().recordFailure(nowNanos);
+		upstream.window().recordFirstEvent(PendingWorkWindow.NOT_RECEIVED_RATIO, nowNanos);
+	}
+
 	void recordEnd(PlacementGrant grant, AttemptResult result, long nowNanos) {
 		PlacementUpstream upstream = grant.placementUpstream();
 		upstream.recordEnd(grant);
@@ -292,7 +325,7 @@
 		}
 		boolean wasEjected = upstream.health().isEjected(nowNanos);
 		boolean wasUnhealthy = wasEjected || upstream.health().isHalfOpen(nowNanos);
-		updateHealth(upstream, result, nowNanos);
+		updateHealth(grant, result, nowNanos);
 		if (wasUnhealthy && result == AttemptResult.COMPLETED) {
 			this.events.record(new Event.UpstreamTrusted(upstream.host().host()));
 		}
@@ -302,7 +335,8 @@
 		}
 	}
 
-	private static void updateHealth(PlacementUpstream upstream, AttemptResult result, long nowNanos) {
+	private static void updateHealth(PlacementGrant grant, AttemptResult result, long nowNanos) {
+		PlacementUpstream upstream = grant.placementUpstream();
 		switch (result) {
 			case COMPLETED -> {
 				upstream.recordDataReceived(nowNanos);
@@ -314,10 +348,12 @@
 				upstream.recordDataReceived(nowNanos);
 				upstream.health().recordFailure(nowNanos);
 			}
-			case TIMED_OUT, CONNECTION_LOST -> {
-				upstream.health().recordFailure(nowNanos);
-				upstream.window().recordFirstEvent(PendingWorkWindow.NOT_RECEIVED_RATIO, nowNanos);
+			case TIMED_OUT -> {
+				if (!grant.isSilent()) {
+					recordLateness(upstream, nowNanos);
+				}
 			}
+			case CONNECTION_LOST -> recordLateness(upstream, nowNanos);
 			default -> {
 			}
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -288,8 +289,9 @@
 
 	RetryDecision retry(PlacementTicket ticket, RetryReason reason, GrantListener listener) {
 		return runLocked(() -> {
+			long nowNanos = this.clock.nanoTime();
 			RetryDecision decision = tryRetry(ticket, ticket.possiblyExecutedAttempts(), reason, listener,
-					this.clock.nanoTime());
+					(pool) -> pool.chooseForRetry(ticket, nowNanos), nowNanos);
 			this.metrics.recordRetry(reason, decision);
 			return decision;
 		});
@@ -300,17 +302,15 @@
 			long nowNanos = this.clock.nanoTime();
 			PlacementTicket ticket = running.ticket();
 			RetryDecision decision = tryRetry(ticket, ticket.possiblyExecutedAttempts() + 1, reason, listener,
-					nowNanos);
+					(pool) -> pool.chooseForReplacement(ticket, nowNanos), nowNanos);
 			this.metrics.recordRetry(reason, decision);
-			if (decision == RetryDecision.GRANTED) {
-				endAttempt(running, AttemptResult.TIMED_OUT, nowNanos);
-			}
+			poolOf(ticket).recordSilence(running, nowNanos);
 			return decision;
 		});
 	}
 
 	private RetryDecision tryRetry(PlacementTicket ticket, int possiblyExecutedAttempts, RetryReason reason,
-			GrantListener listener, long nowNanos) {
+			GrantListener listener, Function<PlacementPool, @Nullable PlacementUpstream> choice, long nowNanos) {
 		if (possiblyExecutedAttempts >= ticket.attributes().options().maximumAttempts()
 				|| ticket.unexecutedAttempts() > MAXIMUM_UNEXECUTED_RETRIES) {
 			return RetryDecision.ATTEMPTS_EXHAUSTED;
@@ -319,7 +319,7 @@
 			return RetryDecision.PROMPT_SUSPECTED;
 		}
 		PlacementPool pool = poolOf(ticket);
-		PlacementUpstream upstream = pool.chooseForRetry(ticket, nowNanos);
+		PlacementUpstream upstream = choice.apply(pool);
 		if (upstream == null) {
 			return RetryDecision.NO_UPSTREAM;
 		}
@@ -382,11 +382,11 @@
 			grant.ticket()
 				.recordAttemptEnd(result == AttemptResult.UNREACHABLE || result == AttemptResult.REFUSED
 						|| result == AttemptResult.NOT_SENT);
+			PlacementPool pool = poolOf(grant.ticket());
+			pool.recordEnd(grant, result, nowNanos);
 			if (result == AttemptResult.CONNECTION_LOST && !grant.hasReceivedFirstEvent()) {
 				this.quarantine.recordCrash(grant.upstream(), grant.attributes().options().prompt(), nowNanos);
 			}
-			PlacementPool pool = poolOf(grant.ticket());
-			pool.recordEnd(grant, result, nowNanos);
 			dispatchQueued(pool, nowNanos);
 		}
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
@@ -159,6 +159,11 @@
 				&& !(EnginePartition.isLongPrompt(ticket.attributes()) && this.eventGaps.isOverloaded(nowNanos));
 	}
 
+	boolean hasFreeSlot() {
+		int slots = this.host.slots();
+		return slots <= 0 || fleetInFlight() < slots;
+	}
+
 	EventGapMonitor eventGaps() {
 		return this.eventGaps;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/Ticket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/Ticket.java
@@ -27,11 +27,11 @@
 	RetryDecision retry(RetryReason reason, GrantListener listener);
 
 	/**
-	 * Requests another attempt in place of a running one whose upstream sends no data.
-	 * The decision is made immediately. If it is {@link RetryDecision#GRANTED}, the
-	 * running attempt's grant was released, and the listener is called with a new one
-	 * before this method returns; otherwise nothing has changed, and the running attempt
-	 * may go on. The caller must make sure that the request may be retried safely.
+	 * Requests an attempt that is to replace a running one whose upstream sends no data.
+	 * The decision is made immediately: the listener is called with a grant before this
+	 * method returns, or not at all. The running attempt keeps its grant in either case.
+	 * The caller must make sure that the request may be retried safely, and ends one of
+	 * the two attempts.
 	 * @param running the grant of the running attempt
 	 * @param reason the reason for the retry
 	 * @param listener the listener for the new attempt
