Keep the ages of quarantine reports true on their way

Relayed reports were held for up to an interval without being aged, and a daemon that had been paused read datagrams that were seconds older than they said. An old success could look new and end a quarantine; one loss of power could look like two moments.

Change: a relay adds the time for which it held a report. A daemon ignores the prompt parts of datagrams that it reads during a pause of its own or shortly after (PauseDetector). Ages, durations and repetitions are limited when they are decoded.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -74,7 +75,9 @@
 		return thread;
 	});
 
-	private final Map<LoadEndpoint, LoadReport> reportsToRelay = new HashMap<>();
+	private final Map<LoadEndpoint, HeldReport> reportsToRelay = new HashMap<>();
+
+	private final PauseDetector pauseDetector;
 
 	private @Nullable DatagramSocket socket;
 
@@ -108,6 +111,7 @@
 		this.fleetLoad = fleetLoad;
 		this.quarantine = quarantine;
 		this.clock = clock;
+		this.pauseDetector = new PauseDetector(clock.nanoTime());
 		this.members = new LoadMembers(this.self,
 				settings.seeds().stream().map((seed) -> new LoadEndpoint(seed, "")).toList(), random);
 	}
@@ -178,6 +182,7 @@
 	private void sendReport() {
 		List<UpstreamLoad> loads = this.localLoads.get();
 		long nowNanos = this.clock.nanoTime();
+		this.pauseDetector.recordActivity(nowNanos, Duration.ofMillis(intervalMillis()));
 		QuarantineReport quarantineReport = this.quarantine.createReport(nowNanos);
 		this.fleetLoad.removeExpired(nowNanos);
 		synchronized (this.members) {
@@ -192,7 +197,8 @@
 		boolean empty = loads.isEmpty() && quarantineReport.isEmpty();
 		boolean nothingNew = empty && this.lastReportEmpty && !heartbeatDue;
 		this.lastReportEmpty = empty;
-		List<LoadReport> reports = new ArrayList<>(this.reportsToRelay.values());
+		List<LoadReport> reports = new ArrayList<>();
+		this.reportsToRelay.values().forEach((held) -> reports.add(held.relayedAt(nowNanos)));
 		this.reportsToRelay.clear();
 		if (!nothingNew) {
 			List<LoadEndpoint> namedMembers = heartbeatDue ? this.members.namedMembers() : List.of();
@@ -257,13 +263,29 @@
 		if (report.sender().equals(this.self) || !this.fleetLoad.record(report, nowNanos)) {
 			return;
 		}
-		this.quarantine.merge(report.quarantine(), nowNanos);
+		if (this.pauseDetector.isTrusted(nowNanos, Duration.ofMillis(intervalMillis()))) {
+			this.quarantine.merge(report.quarantine(), nowNanos);
+		}
 		synchronized (this.members) {
 			this.members.recordReport(report, nowNanos);
 			if (report.relay()) {
-				this.reportsToRelay.put(report.sender(), report.withRelay(false));
+				this.reportsToRelay.put(report.sender(), new HeldReport(report, nowNanos));
 			}
 		}
 	}
 
+	/**
+	 * Report of another daemon that waits to be relayed.
+	 *
+	 * @param report the report
+	 * @param receivedAtNanos the time on the monotonic clock
+	 */
+	private record HeldReport(LoadReport report, long receivedAtNanos) {
+
+		LoadReport relayedAt(long nowNanos) {
+			return this.report.relayedAfter(TimeUnit.NANOSECONDS.toMillis(nowNanos - this.receivedAtNanos) + 1);
+		}
+
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReport.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReport.java
@@ -35,6 +35,16 @@
 		this(sender, incarnation, sequence, loads, members, relay, leaving, QuarantineReport.EMPTY);
 	}
 
+	/**
+	 * Returns this report for a receiver to which it is relayed.
+	 * @param heldMillis the time for which it was held, in milliseconds
+	 * @return the report
+	 */
+	public LoadReport relayedAfter(long heldMillis) {
+		return new LoadReport(this.sender, this.incarnation, this.sequence, this.loads, this.members, false,
+				this.leaving, this.quarantine.aged(heldMillis));
+	}
+
 	/**
 	 * Returns this report for a receiver that relays it or does not.
 	 * @param newRelay whether the receiver forwards the report
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/QuarantineReportCodec.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/QuarantineReportCodec.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.internal.peers.load;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 
@@ -16,7 +17,9 @@
 final class QuarantineReportCodec {
 
 	/** Maximum age or duration. */
-	private static final long MAXIMUM_MILLIS = 86_400_000;
+	private static final long MAXIMUM_MILLIS = Duration.ofHours(1).toMillis();
+
+	private static final int MAXIMUM_REPETITIONS = 16;
 
 	private QuarantineReportCodec() {
 	}
@@ -63,7 +66,8 @@
 
 	private static QuarantineVerdict fromWire(org.cyclamenstall.wire.QuarantineVerdict verdict) {
 		return new QuarantineVerdict(verdict.getPart(), limit(verdict.getAgeMillis()),
-				limit(verdict.getDurationMillis()), Math.max(0, verdict.getRepetitions()));
+				limit(verdict.getDurationMillis()),
+				Math.max(0, Math.min(MAXIMUM_REPETITIONS, verdict.getRepetitions())));
 	}
 
 	private static long limit(long millis) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/quarantine/QuarantineReport.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/quarantine/QuarantineReport.java
@@ -16,6 +16,28 @@
 	/** Report without contents. */
 	public static final QuarantineReport EMPTY = new QuarantineReport(List.of(), List.of(), List.of());
 
+	/**
+	 * Returns this report with higher ages, because it is passed on later.
+	 * @param millis the time for which it was held, in milliseconds
+	 * @return the report
+	 */
+	public QuarantineReport aged(long millis) {
+		if (isEmpty()) {
+			return this;
+		}
+		return new QuarantineReport(
+				this.crashes.stream()
+					.map((crash) -> new CrashReport(crash.crash(), crash.ageMillis() + millis, crash.parts()))
+					.toList(),
+				this.successes.stream()
+					.map((success) -> new PartSuccess(success.part(), success.ageMillis() + millis))
+					.toList(),
+				this.verdicts.stream()
+					.map((verdict) -> new QuarantineVerdict(verdict.part(), verdict.ageMillis() + millis,
+							verdict.durationMillis(), verdict.repetitions()))
+					.toList());
+	}
+
 	/**
 	 * Returns whether there is nothing to tell.
 	 * @return {@code true} if all lists are empty
