Separate prompt parts that were blamed together

Change: such parts are companions; a request with only one of them is admitted as a probe at once, one at a time. Its first event clears the part on all daemons, a crash repeats its quarantine.

Tests: aNewPartThatCameOnlyWithTheDeadlyOneIsClearedByAnotherRequest, aDeadlyPartIsNotClearedByARequestWithoutItsCompanion.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/quarantine/PromptQuarantineTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/quarantine/PromptQuarantineTests.java
@@ -102,6 +102,34 @@
 			assertThat(fleet.isAdmitted(0, fleet.prompt("document-there")), equalTo(true));
 		}
 
+		@Test
+		void aNewPartThatCameOnlyWithTheDeadlyOneIsClearedByAnotherRequest() {
+			QuarantineFleet fleet = new QuarantineFleet(3, 1);
+			crashRepeatedly(fleet, 0, 3, "document", "deadly");
+			assertThat(fleet.isAdmitted(0, fleet.prompt("document", "deadly")), equalTo(false));
+			PromptShape sound = fleet.prompt("document");
+			assertThat(fleet.isAdmitted(0, sound), equalTo(true));
+			fleet.probe(0, sound);
+			assertThat(fleet.isAdmitted(0, fleet.prompt("document")), equalTo(false));
+			fleet.succeed(0, sound);
+			fleet.advance(SECOND);
+			assertThat(fleet.isAdmitted(0, fleet.prompt("document")), equalTo(true));
+			assertThat(fleet.isAdmitted(2, fleet.prompt("document")), equalTo(true));
+			assertThat(fleet.isAdmitted(2, fleet.prompt("document", "deadly")), equalTo(false));
+		}
+
+		@Test
+		void aDeadlyPartIsNotClearedByARequestWithoutItsCompanion() {
+			QuarantineFleet fleet = new QuarantineFleet(1, 1);
+			crashRepeatedly(fleet, 0, 3, "document", "deadly");
+			PromptShape probe = fleet.prompt("deadly");
+			assertThat(fleet.isAdmitted(0, probe), equalTo(true));
+			fleet.probe(0, probe);
+			fleet.crash(0, probe);
+			fleet.advance(Duration.ofSeconds(11));
+			assertThat(fleet.isAdmitted(0, fleet.prompt("deadly")), equalTo(false));
+		}
+
 		@ParameterizedTest
 		@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 })
 		void aDeadlyPartAmongManyIsReported(long seed) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/quarantine/PromptQuarantine.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/quarantine/PromptQuarantine.java
@@ -5,8 +5,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 
@@ -128,9 +130,10 @@
 			return null;
 		}
 		this.quarantinedParts.values().removeIf((part) -> part.isForgotten(nowNanos));
+		List<Long> parts = PartKeys.of(service, prompt);
 		for (PromptPart part : prompt.shareableParts()) {
 			QuarantinedPart quarantined = this.quarantinedParts.get(PartKeys.of(service, part));
-			if (quarantined != null && !quarantined.admitsProbe(nowNanos)) {
+			if (quarantined != null && !quarantined.admitsProbe(parts, nowNanos)) {
 				return new QuarantineRefusal(part.id(), quarantined.ageMillis(nowNanos),
 						retryAfter(quarantined, nowNanos));
 			}
@@ -255,7 +258,7 @@
 				explained = true;
 				this.evidence.explain(part);
 				if (quarantined.isProbed()) {
-					quarantine(part, nowNanos, quarantined.repetitions() + 1, 1);
+					quarantine(part, nowNanos, quarantined.repetitions() + 1, 1, Set.of());
 				}
 			}
 		}
@@ -277,9 +280,13 @@
 			.filter((part) -> isToBlame(part, untilNanos))
 			.toList();
 		int highestCount = blamed.stream().mapToInt((part) -> crashCount(part, untilNanos)).max().orElse(0);
-		List<Long> worst = blamed.stream().filter((part) -> crashCount(part, untilNanos) == highestCount).toList();
+		Set<Long> worst = blamed.stream()
+			.filter((part) -> crashCount(part, untilNanos) == highestCount)
+			.collect(Collectors.toSet());
 		for (long part : worst) {
-			quarantine(part, nowNanos, 0, highestCount);
+			Set<Long> companions = new HashSet<>(worst);
+			companions.remove(part);
+			quarantine(part, nowNanos, 0, highestCount, companions);
 		}
 	}
 
@@ -289,9 +296,9 @@
 		return this.evidence.count(part, lastSuccess, untilNanos).reaches(threshold);
 	}
 
-	private void quarantine(long part, long nowNanos, int repetitions, int crashes) {
+	private void quarantine(long part, long nowNanos, int repetitions, int crashes, Set<Long> companions) {
 		add(part, new QuarantinedPart(nowNanos, QuarantinedPart.durationNanos(repetitions), probeDelayNanos(),
-				repetitions));
+				repetitions, companions));
 		this.events.record(new Event.PromptPartQuarantined(Long.toHexString(part), crashes, repetitions,
 				Duration.ofNanos(QuarantinedPart.durationNanos(repetitions)).toMillis(), "own evidence"));
 	}
@@ -387,7 +394,8 @@
 			return;
 		}
 		QuarantinedPart reported = new QuarantinedPart(startedAtNanos,
-				Duration.ofMillis(verdict.durationMillis()).toNanos(), probeDelayNanos(), verdict.repetitions());
+				Duration.ofMillis(verdict.durationMillis()).toNanos(), probeDelayNanos(), verdict.repetitions(),
+				Set.of());
 		if (!reported.isForgotten(nowNanos)) {
 			add(verdict.part(), reported);
 			this.events.record(new Event.PromptPartQuarantined(Long.toHexString(verdict.part()), 0,
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/quarantine/QuarantinedPart.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/quarantine/QuarantinedPart.java
@@ -1,10 +1,15 @@
 package org.cyclamenstall.internal.policy.quarantine;
 
 import java.time.Duration;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Set;
 
 /**
  * State of a quarantined prompt part. After its duration a single request at a time is
- * admitted as a probe; its result ends or repeats the quarantine. Not thread-safe.
+ * admitted as a probe; its result ends or repeats the quarantine. Parts that were blamed
+ * together, because the same crashes suggest each of them, are companions: a request with
+ * only one of them is admitted as a probe at once. Not thread-safe.
  */
 final class QuarantinedPart {
 
@@ -28,6 +33,8 @@
 
 	private final int repetitions;
 
+	private final Set<Long> companions;
+
 	private boolean probed;
 
 	private long probedAtNanos;
@@ -39,12 +46,15 @@
 	 * @param probeDelayNanos the time between the end of the duration and the first
 	 * probe, different on each daemon
 	 * @param repetitions the number of earlier quarantines
+	 * @param companions the keys of the parts that were blamed together with this one
 	 */
-	QuarantinedPart(long startedAtNanos, long durationNanos, long probeDelayNanos, int repetitions) {
+	QuarantinedPart(long startedAtNanos, long durationNanos, long probeDelayNanos, int repetitions,
+			Set<Long> companions) {
 		this.startedAtNanos = startedAtNanos;
 		this.durationNanos = durationNanos;
 		this.probeDelayNanos = probeDelayNanos;
 		this.repetitions = repetitions;
+		this.companions = companions;
 	}
 
 	/**
@@ -58,13 +68,16 @@
 	}
 
 	/**
-	 * Returns whether it is time for a probe and none is in progress.
+	 * Returns whether a request may be sent as a probe: the quarantine has ended or the
+	 * request has none of the companions, and no probe is in progress.
+	 * @param promptParts the keys of the parts of the request
 	 * @param nowNanos the time on the monotonic clock
-	 * @return {@code true} if a request may be sent as a probe
+	 * @return {@code true} if it may be sent
 	 */
-	boolean admitsProbe(long nowNanos) {
-		boolean due = remainingNanos(nowNanos) + this.probeDelayNanos <= 0;
-		return due && !(this.probed && nowNanos - this.probedAtNanos < PROBE_TIMEOUT_NANOS);
+	boolean admitsProbe(Collection<Long> promptParts, long nowNanos) {
+		boolean ended = remainingNanos(nowNanos) + this.probeDelayNanos <= 0;
+		boolean separates = !this.companions.isEmpty() && Collections.disjoint(this.companions, promptParts);
+		return (ended || separates) && !(this.probed && nowNanos - this.probedAtNanos < PROBE_TIMEOUT_NANOS);
 	}
 
 	void startProbe(long nowNanos) {
