--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
@@ -24,6 +24,8 @@
 
 	private final RequestExecution request;
 
+	private final RequestGuard guard;
+
 	private final XnioIoThread thread;
 
 	private @Nullable Grant grant;
@@ -32,6 +34,7 @@
 
 	AttemptExecution(RequestExecution request, XnioIoThread thread) {
 		this.request = request;
+		this.guard = request.guard();
 		this.thread = thread;
 	}
 
@@ -58,7 +61,7 @@
 	}
 
 	private void executeGuarded(Runnable step) {
-		this.thread.execute(() -> this.request.guard(step));
+		this.thread.execute(() -> this.guard.run(step));
 	}
 
 	/**
@@ -106,7 +109,7 @@
 			this.upstreamAttempt.cancel();
 		}
 		if (current != null) {
-			this.request.tolerate(() -> current.release(result));
+			this.guard.tolerate(() -> current.release(result));
 			this.request.onGrantReleased(this);
 		}
 	}
@@ -125,44 +128,44 @@
 
 	@Override
 	public boolean beginSending(UpstreamAttempt source) {
-		return this.request.guard(() -> this.request.beginSending(this), false);
+		return this.guard.decide(() -> this.request.beginSending(this), false);
 	}
 
 	@Override
 	public void onStreamStarted(UpstreamAttempt source, ResponseHead responseHead) {
-		this.request.guard(() -> this.request.onStreamStarted(this, responseHead));
+		this.guard.run(() -> this.request.onStreamStarted(this, responseHead));
 	}
 
 	@Override
 	public void onStreamEvent(UpstreamAttempt source, StreamEvent event) {
-		this.request.guard(() -> this.request.onStreamEvent(this, event));
+		this.guard.run(() -> this.request.onStreamEvent(this, event));
 	}
 
 	@Override
 	public void onStreamEnded(UpstreamAttempt source) {
-		this.request.guard(() -> this.request.onStreamEnded(this));
+		this.guard.run(() -> this.request.onStreamEnded(this));
 	}
 
 	@Override
 	public void onResponse(UpstreamAttempt source, BufferedResponse response) {
-		this.request.guard(() -> this.request.onResponse(this, response));
+		this.guard.run(() -> this.request.onResponse(this, response));
 	}
 
 	@Override
 	public boolean continuesAfterTimeout(UpstreamAttempt source, String detail) {
-		return this.request.guard(() -> this.request.continuesAfterTimeout(this, detail), false);
+		return this.guard.decide(() -> this.request.continuesAfterTimeout(this, detail), false);
 	}
 
 	@Override
 	public void onFailed(UpstreamAttempt source, AttemptFailure failure, String detail) {
-		this.request.guard(() -> this.request.onAttemptFailed(this, failure, detail));
+		this.guard.run(() -> this.request.onAttemptFailed(this, failure, detail));
 	}
 
 	@Override
 	public void onLoadReported(UpstreamAttempt source, ReportedLoad load) {
 		Grant current = this.grant;
 		if (current != null) {
-			this.request.tolerate(() -> current.recordLoad(load.running(), load.slots(), load.ageMillis()));
+			this.guard.tolerate(() -> current.recordLoad(load.running(), load.slots(), load.ageMillis()));
 		}
 	}
 
@@ -170,7 +173,7 @@
 	public void onUpstreamDraining(UpstreamAttempt source) {
 		Grant current = this.grant;
 		if (current != null) {
-			this.request.tolerate(current::markUpstreamDraining);
+			this.guard.tolerate(current::markUpstreamDraining);
 		}
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -1,11 +1,8 @@
 package org.cyclamenstall.internal.gateway;
 
 import java.time.Duration;
-import java.util.function.BooleanSupplier;
 
 import io.undertow.server.HttpServerExchange;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.claims.ClaimDecision;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.internal.upstream.AttemptFailure;
@@ -30,15 +27,13 @@
  * <p>
  * Invariants: an accepted request leaves by exactly one response, unless its caller
  * disconnected, whatever an event log, a metric or the traffic controller throws
- * ({@link #guard}, {@link #tolerate}); a request that may have reached an upstream is
- * never reported as {@code not-run}; a non-idempotent request is sent again only after
- * proof that the earlier attempt was not executed; the ticket is finished after the last
- * grant was released.
+ * ({@link RequestGuard}); a request that may have reached an upstream is never reported
+ * as {@code not-run}; a non-idempotent request is sent again only after proof that the
+ * earlier attempt was not executed; the ticket is finished after the last grant was
+ * released.
  */
 final class RequestExecution implements ResponseRelay.FlowControl {
 
-	private static final Logger logger = LogManager.getLogger(RequestExecution.class);
-
 	private static final int STATUS_OK = 200;
 
 	/**
@@ -66,6 +61,8 @@
 
 	private final RequestEventRecorder recorder;
 
+	private final RequestGuard guard;
+
 	private final AttemptSet attempts = new AttemptSet();
 
 	private final AttemptReplacement replacement = new AttemptReplacement();
@@ -102,6 +99,7 @@
 		this.request = request;
 		this.services = services;
 		this.thread = exchange.getIoThread();
+		this.guard = new RequestGuard(request.id(), this::failInternally);
 		this.timers = new RequestTimers(this.thread);
 		this.relay = new ResponseRelay(exchange, request.id(), services.writer(), this);
 		this.claim = new RequestClaim(request, services.claims());
@@ -113,12 +111,12 @@
 	 * Submits the request to the traffic controller.
 	 */
 	void start() {
-		guard(this::submit);
+		this.guard.run(this::submit);
 	}
 
 	private void submit() {
 		this.disconnectDetector = CallerDisconnectDetector.start(this.exchange,
-				() -> guard(this::onCallerDisconnected));
+				() -> this.guard.run(this::onCallerDisconnected));
 		this.lifecycle.moveTo(RequestState.QUEUED);
 		Duration responseTimeout = attributes().options().responseTimeout();
 		if (responseTimeout != null) {
@@ -130,60 +128,16 @@
 		this.ticket = this.services.controller().submit(attributes(), firstAttempt);
 	}
 
-	private void schedule(Duration delay, Runnable step) {
-		this.timers.schedule(delay, () -> guard(step));
-	}
-
-	/**
-	 * Runs a step of the request; each task, timer and notification enters through this
-	 * method. If the step throws and the request is not answered, it fails with an
-	 * internal error.
-	 * @param step the step
-	 */
-	void guard(Runnable step) {
-		guard(() -> {
-			step.run();
-			return true;
-		}, false);
-	}
-
 	/**
-	 * Runs a step of the request that decides something.
-	 * @param step the step
-	 * @param decisionAfterFailure the decision if the step throws
-	 * @return the decision
-	 * @see #guard(Runnable)
+	 * Returns the guard of the steps of this request.
+	 * @return the guard
 	 */
-	boolean guard(BooleanSupplier step, boolean decisionAfterFailure) {
-		try {
-			return step.getAsBoolean();
-		}
-		catch (RuntimeException | Error ex) {
-			logger.error("A step of request {} failed", this.request.id(), ex);
-			failInternally();
-			return decisionAfterFailure;
-		}
+	RequestGuard guard() {
+		return this.guard;
 	}
 
-	/**
-	 * Runs an action on which the response does not depend, and only logs what it throws.
-	 * @param action the action
-	 */
-	void tolerate(Runnable action) {
-		tolerate(() -> {
-			action.run();
-			return true;
-		}, false);
-	}
-
-	private boolean tolerate(BooleanSupplier action, boolean resultAfterFailure) {
-		try {
-			return action.getAsBoolean();
-		}
-		catch (RuntimeException | Error ex) {
-			logger.error("An action of request {} failed; the request goes on", this.request.id(), ex);
-			return resultAfterFailure;
-		}
+	private void schedule(Duration delay, Runnable step) {
+		this.timers.schedule(delay, () -> this.guard.run(step));
 	}
 
 	// A response that can be neither completed nor replaced is cut off.
@@ -191,10 +145,10 @@
 		this.mayHaveRun |= this.sendingBegan;
 		Refusal cause = new Refusal(ErrorKind.INTERNAL, "internal error in the daemon");
 		if (!hasEnded()) {
-			tolerate(() -> fail(cause));
+			this.guard.tolerate(() -> fail(cause));
 		}
 		if (!isSettled() && !this.exchange.isResponseStarted()) {
-			tolerate(() -> writeError(ErrorReport.ofUnknownOutcome(cause, null)));
+			this.guard.tolerate(() -> writeError(ErrorReport.ofUnknownOutcome(cause, null)));
 		}
 		if (!isSettled()) {
 			IoUtils.safeClose(this.exchange.getConnection());
@@ -222,7 +176,7 @@
 		else if (this.claim.isPending()) {
 			this.services.blockingExecutor().execute(() -> {
 				ClaimDecision decision = this.claim.acquire();
-				this.thread.execute(() -> guard(() -> onClaimDecision(attempt, decision)));
+				this.thread.execute(() -> this.guard.run(() -> onClaimDecision(attempt, decision)));
 			});
 		}
 		else {
@@ -285,7 +239,7 @@
 		if (this.replacement.isSilent(attempt)) {
 			endReplacement();
 		}
-		tolerate(() -> this.progress.recordEvent(attempt.grant(), event));
+		this.guard.tolerate(() -> this.progress.recordEvent(attempt.grant(), event));
 		this.relay.writeEvent(event);
 		if (this.relay.isBlocked()) {
 			attempt.suspendReads();
@@ -297,7 +251,7 @@
 		attempt.end(AttemptResult.COMPLETED);
 		if (this.relay.isStreaming() && !hasEnded()) {
 			end(AttemptResult.CANCELLED);
-			tolerate(() -> this.recorder.recordResponse(upstream, STATUS_OK, this.progress));
+			this.guard.tolerate(() -> this.recorder.recordResponse(upstream, STATUS_OK, this.progress));
 			this.relay.finishStream();
 			this.answered = true;
 		}
@@ -315,7 +269,7 @@
 		if (!selectWinner(attempt)) {
 			return;
 		}
-		tolerate(() -> this.progress.recordResponseTokens(attempt.grant(), response.tokens()));
+		this.guard.tolerate(() -> this.progress.recordResponseTokens(attempt.grant(), response.tokens()));
 		attempt.end(AttemptResult.COMPLETED);
 		this.claim.complete(response);
 		sendResponse(upstream, response);
@@ -362,7 +316,7 @@
 		}
 		if (!this.replacement.isPending()) {
 			RetryDecision decision = requestReplacement(attempt);
-			tolerate(() -> this.recorder.recordSilentAttempt(attempt.grant(), detail, decision));
+			this.guard.tolerate(() -> this.recorder.recordSilentAttempt(attempt.grant(), detail, decision));
 		}
 		return true;
 	}
@@ -380,7 +334,7 @@
 			return decision;
 		}
 		this.replacement.begin(attempt, newAttempt);
-		tolerate(() -> this.recorder.recordResume(RetryReason.STREAM_CUT));
+		this.guard.tolerate(() -> this.recorder.recordResume(RetryReason.STREAM_CUT));
 		return decision;
 	}
 
@@ -423,13 +377,13 @@
 			this.winner = null;
 		}
 		if (hasEnded() || !this.attempts.isEmpty()) {
-			tolerate(
+			this.guard.tolerate(
 					() -> this.recorder.recordAttemptFailure(endedAttempt, failure, detail, "another attempt goes on"));
 			return;
 		}
 		boolean interrupted = this.relay.isStreaming() && !failure.provesNotRun();
 		RetryDecision decision = retryIfAllowed(interrupted ? RetryReason.STREAM_CUT : failure.retryReason());
-		tolerate(() -> this.recorder.recordAttemptFailure(endedAttempt, failure, detail, decision));
+		this.guard.tolerate(() -> this.recorder.recordAttemptFailure(endedAttempt, failure, detail, decision));
 		if (decision != RetryDecision.GRANTED) {
 			fail(failure.errorKind(), detail);
 		}
@@ -489,7 +443,7 @@
 		}
 		boolean continues = !attributes().idempotent() && !attributes().streamed()
 				&& this.lifecycle.state() == RequestState.SENDING;
-		tolerate(() -> this.recorder.recordCallerDisconnect(continues));
+		this.guard.tolerate(() -> this.recorder.recordCallerDisconnect(continues));
 		if (!continues) {
 			end(AttemptResult.CANCELLED);
 			settleClaim();
@@ -554,7 +508,7 @@
 	private boolean selectWinner(AttemptExecution attempt) {
 		if (this.winner == null) {
 			this.winner = attempt;
-			tolerate(() -> this.progress.recordStart(attempt.grant()));
+			this.guard.tolerate(() -> this.progress.recordStart(attempt.grant()));
 			this.attempts.endAllExcept(attempt, AttemptResult.HEDGE_LOST);
 		}
 		return this.winner == attempt;
@@ -616,7 +570,7 @@
 		end(AttemptResult.CANCELLED);
 		ErrorReport report = settleClaim() ? ErrorReport.of(refusal)
 				: ErrorReport.ofUnknownOutcome(refusal, this.mayHaveRun ? this.lastInconclusiveFailure : null);
-		tolerate(() -> this.recorder.recordRequestFailure(report, this.relay.isStreaming()));
+		this.guard.tolerate(() -> this.recorder.recordRequestFailure(report, this.relay.isStreaming()));
 		if (!this.callerDisconnected) {
 			writeError(report);
 		}
@@ -624,7 +578,7 @@
 
 	// A claim that cannot be settled proves nothing.
 	private boolean settleClaim() {
-		return tolerate(() -> this.claim.settleWithoutResponse(this.mayHaveRun), false);
+		return this.guard.tolerate(() -> this.claim.settleWithoutResponse(this.mayHaveRun), false);
 	}
 
 	private void sendResponse(@Nullable String upstream, BufferedResponse response) {
@@ -632,7 +586,7 @@
 			return;
 		}
 		end(AttemptResult.CANCELLED);
-		tolerate(() -> this.recorder.recordResponse((upstream != null) ? upstream : "", response.status(),
+		this.guard.tolerate(() -> this.recorder.recordResponse((upstream != null) ? upstream : "", response.status(),
 				this.progress));
 		if (!this.callerDisconnected) {
 			this.relay.writeResponse(upstream, response);
@@ -650,8 +604,8 @@
 		if (this.disconnectDetector != null) {
 			this.disconnectDetector.stop();
 		}
-		tolerate(() -> this.attempts.endAllExcept(null, result));
-		tolerate(this::withdrawWaiting);
+		this.guard.tolerate(() -> this.attempts.endAllExcept(null, result));
+		this.guard.tolerate(this::withdrawWaiting);
 		finishTicket();
 	}
 
@@ -665,7 +619,7 @@
 		Ticket currentTicket = this.ticket;
 		if (hasEnded() && this.attempts.isEmpty() && !this.ticketFinished && currentTicket != null) {
 			this.ticketFinished = true;
-			tolerate(() -> currentTicket.finish(this.progress.tokens()));
+			this.guard.tolerate(() -> currentTicket.finish(this.progress.tokens()));
 		}
 	}
 
