Show that bursts of long bodies can end the thread that follows the store

Case 4 in its final form: in bursts of 180 users with bodies of 500 kB, while the configuration changes, bookings of others have no answer 0.5 s after their route's timeout. An OutOfMemoryError can also end the thread that follows the store for good, since StoreWatcher catches exceptions only: the process then runs on with an old configuration.

--- a/review/standin/CaseBodies.java
+++ b/review/standin/CaseBodies.java
@@ -1,4 +1,3 @@
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
@@ -7,26 +6,40 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * Many users come at once, each with a request of a quarter of the permitted length. The
- * small requests of other clients must still be answered at their route's timeout.
+ * Many users come at once, each with requests of a quarter of the permitted length, while
+ * the operator changes the configuration. Long after the burst, the daemon must follow the
+ * configuration again.
  */
 final class CaseBodies {
 
-	private static final int UPLOADS = 100;
+	private static final int USERS = 180;
 
-	private static final int UPLOAD_BYTES = 1_000_000;
+	private static final int BODY_BYTES = 500_000;
 
-	private static final int UPLOAD_MILLIS = 5_000;
+	private static final int UPLOAD_MILLIS = 4_000;
 
-	private static final int BOOK_TIMEOUT_MILLIS = 800;
+	/** Beginning and end of each burst, as on the first quiet day of the site. */
+	private static final int[][] BURSTS = { { 500, 9_500 }, { 11_000, 16_000 }, { 17_500, 22_000 } };
+
+	/** The configuration is changed in the first seconds of each burst. */
+	private static final int STORM_MILLIS = 4_000;
+
+	private static final int ROUTES = 350;
+
+	private static final int CHANGE_MILLIS = 330;
 
-	private static final int BOOK_DEADLINE_MILLIS = 1_500;
+	private static final int RECOVER_MILLIS = 12_000;
 
-	/** Time between two bookings: 14 a second. */
-	private static final int BOOK_INTERVAL_MILLIS = 71;
+	private static final int CONFIG_APPLY_MILLIS = 2_000;
+
+	private static final int BOOK_TIMEOUT_MILLIS = 800;
+
+	private static final int REQUESTS_AFTER = 10;
 
 	public static void main(String[] arguments) throws Exception {
 		int exitCode;
@@ -37,68 +50,115 @@
 	}
 
 	private static int run(Rig rig) throws Exception {
-		for (int number = 1; number <= 4; number++) {
-			Worker app = rig.worker("app", "app-" + number, 6);
-			app.work = (worker, request, out) -> {
-				Rig.sleep(60);
-				worker.whole(request, out, 200, "booked");
-			};
-			rig.store.put("servers/" + app.id, app.entry("ready"));
-			Worker engine = rig.worker("engines", "engine-" + number, 128);
-			engine.work = (worker, request, out) -> worker.stream(request, out, 76, 100, 20);
-			rig.store.put("servers/" + engine.id, engine.entry("ready"));
+		Map<String, String> ranAt = new ConcurrentHashMap<>();
+		for (String service : List.of("app", "other", "engines")) {
+			for (int number = 1; number <= 2; number++) {
+				Worker worker = rig.worker(service, service + "-" + number, 128);
+				worker.work = (self, request, out) -> {
+					ranAt.put(request.header("Attempt-Id"), self.service);
+					if (self.service.equals("engines")) {
+						self.stream(request, out, 20, 100, 20);
+					}
+					else {
+						Rig.sleep(60);
+						self.whole(request, out, 200, "ok");
+					}
+				};
+				rig.store.put("servers/" + worker.id, worker.entry("ready"));
+			}
 		}
-		rig.store.put("op/config", new Configuration()
-			.route("plan", "streaming", "engines", 2, 1, 1_500, 15_000,
-					",\"public\":false,\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":1000")
-			.route("book", "unsafe", "app", 2, 1, 300, BOOK_TIMEOUT_MILLIS, ",\"public\":false")
-			.service("app", 110, "")
-			.service("engines", 620, ",\"engine\":{\"slots\":128,\"kv_capacity\":921226,\"stride\":5}")
-			.text(7));
+		int version = 7;
+		rig.store.put("op/config", configuration("app").text(version));
 		Rig.Daemon daemon = rig.daemon("edge-1");
 		daemon.start();
-		if (!daemon.awaitReady(20_000)) {
+		if (!daemon.awaitReady(20_000) || ask(rig, daemon, "before").status != 200) {
 			rig.record.line("the daemon did not become ready");
 			return 2;
 		}
 		List<Client.Answer> bookings = Collections.synchronizedList(new ArrayList<>());
-		AtomicBoolean uploading = new AtomicBoolean(true);
-		Thread booking = new Thread(() -> book(rig, daemon, bookings, uploading));
-		booking.start();
-		Rig.sleep(2_000);
-		List<Thread> uploads = new ArrayList<>();
-		for (int number = 1; number <= UPLOADS; number++) {
-			String id = "plan-" + number;
-			Thread upload = new Thread(() -> upload(rig, daemon, id));
-			uploads.add(upload);
-			upload.start();
-			// 50 a second, or without the burst one for every half second.
-			Rig.sleep(rig.trouble ? 20 : 500);
+		AtomicBoolean booking = new AtomicBoolean(true);
+		Thread booker = new Thread(() -> book(rig, daemon, bookings, booking));
+		booker.start();
+		long start = System.nanoTime();
+		List<Thread> users = new ArrayList<>();
+		for (int[] burst : BURSTS) {
+			awaitMillis(start, burst[0]);
+			rig.record.line("a burst begins");
+			for (int number = 1; number <= USERS && rig.trouble; number++) {
+				String name = "plan-" + burst[0] + "-" + number;
+				long delay = 20L * number;
+				Thread user = new Thread(() -> {
+					Rig.sleep(delay);
+					for (int count = 1; millisSince(start) < burst[1]; count++) {
+						upload(rig, daemon, name + "-" + count);
+					}
+				});
+				users.add(user);
+				user.start();
+			}
+			while (millisSince(start) < burst[0] + STORM_MILLIS) {
+				Rig.sleep(CHANGE_MILLIS);
+				version += 2;
+				rig.store.put("op/config", configuration("app").text(version));
+			}
+			awaitMillis(start, burst[1]);
+		}
+		for (Thread user : users) {
+			user.join();
 		}
-		for (Thread upload : uploads) {
-			upload.join();
+		rig.record.line("the last burst is over");
+		booking.set(false);
+		booker.join();
+		Rig.sleep(RECOVER_MILLIS);
+		rig.record.line("readiness: " + daemon.readiness(1_000) + ", the process "
+				+ (daemon.process.isAlive() ? "runs" : "has ended"));
+		version += 2;
+		rig.store.put("op/config", configuration("other").text(version));
+		Rig.sleep(CONFIG_APPLY_MILLIS + 1_000);
+		int old = 0;
+		for (int number = 1; number <= REQUESTS_AFTER; number++) {
+			String id = "after-" + number;
+			ask(rig, daemon, id);
+			old += "app".equals(ranAt.get(id)) ? 1 : 0;
+			Client.Answer keyed = Client.call(daemon.callers, Client.head("POST", "/book/a", Configuration.HOST,
+					"keyed-" + number, 1_500, "key-of-office", 10), new byte[10], 2_000);
+			rig.record.line("keyed-" + number + " is answered: " + keyed);
+			Rig.sleep(200);
+		}
+		rig.record.line("readiness: " + daemon.readiness(1_000));
+		for (String line : daemon.log()) {
+			if (line.startsWith("Exception in thread")) {
+				rig.record.line("the daemon's output: " + line.substring(0, Math.min(110, line.length())));
+			}
 		}
-		uploading.set(false);
-		booking.join();
 		long longer = bookings.stream().filter((answer) -> isOpenAt(answer, BOOK_TIMEOUT_MILLIS)).count();
 		long open = bookings.stream().filter((answer) -> isOpenAt(answer, BOOK_TIMEOUT_MILLIS + 500)).count();
-		return rig.verdict(open >= 8 && open * 4 > longer, bookings.size() + " bookings, " + longer
-				+ " without an answer at their route's timeout, " + open + " of these without one 0.5 s later");
+		return rig.verdict(old > 0 || (open >= 8 && open * 4 > longer), bookings.size() + " bookings, " + longer
+				+ " without an answer at their route's timeout, " + open + " of these without one 0.5 s later; after it "
+				+ old + " of " + REQUESTS_AFTER
+				+ " requests, sent 3 s after a version that moved their route, were run by the old service");
+	}
+
+	private static long millisSince(long start) {
+		return (System.nanoTime() - start) / 1_000_000;
+	}
+
+	private static void awaitMillis(long start, int millis) {
+		Rig.sleep(Math.max(0, millis - millisSince(start)));
 	}
 
 	private static boolean isOpenAt(Client.Answer answer, int millis) {
 		return answer.status < 0 || answer.millis > millis;
 	}
 
-	private static void book(Rig rig, Rig.Daemon daemon, List<Client.Answer> bookings, AtomicBoolean uploading) {
+	private static void book(Rig rig, Rig.Daemon daemon, List<Client.Answer> bookings, AtomicBoolean booking) {
 		List<Thread> clients = new ArrayList<>();
-		for (int number = 1; uploading.get(); number++) {
+		for (int number = 1; booking.get(); number++) {
 			String id = "book-" + number;
 			Thread client = new Thread(() -> {
 				try {
 					Client.Answer answer = Client.call(daemon.callers, Client.head("POST", "/book/a",
-							Configuration.HOST, id, BOOK_DEADLINE_MILLIS, "key-of-office", 600), new byte[600],
-							BOOK_DEADLINE_MILLIS);
+							Configuration.HOST, id, 1_500, "key-of-office", 600), new byte[600], 1_500);
 					bookings.add(answer);
 					rig.record.line(id + " is answered: " + answer);
 				}
@@ -108,7 +168,7 @@
 			});
 			clients.add(client);
 			client.start();
-			Rig.sleep(BOOK_INTERVAL_MILLIS);
+			Rig.sleep(71);
 		}
 		for (Thread client : clients) {
 			try {
@@ -120,28 +180,50 @@
 		}
 	}
 
+	private static Configuration configuration(String service) {
+		Configuration configuration = new Configuration()
+			.route("status", "safe", service, 2, 1, 300, 1_500, ",\"public\":true")
+			.route("book", "unsafe", "app", 2, 1, 300, BOOK_TIMEOUT_MILLIS, ",\"public\":false")
+			.route("plan", "streaming", "engines", 2, 1, 1_500, 15_000,
+					",\"public\":false,\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":1000")
+			.service("app", 110, "")
+			.service("other", 110, "")
+			.service("engines", 620, ",\"engine\":{\"slots\":128,\"kv_capacity\":921226,\"stride\":5}");
+		for (int number = 1; number <= ROUTES; number++) {
+			configuration.route("more-" + number, "unsafe", "app", 2, 1, 300, 1_500, ",\"public\":false");
+		}
+		return configuration;
+	}
+
+	private static Client.Answer ask(Rig rig, Rig.Daemon daemon, String id) throws IOException {
+		Client.Answer answer = Client.call(daemon.callers,
+				Client.head("GET", "/status/a", Configuration.HOST, id, 1_500, null, -1), new byte[0], 2_000);
+		rig.record.line(id + " is answered: " + answer);
+		return answer;
+	}
+
 	private static void upload(Rig rig, Rig.Daemon daemon, String id) {
-		byte[] part = new byte[UPLOAD_BYTES / 100];
+		byte[] part = new byte[BODY_BYTES / 100];
+		String hash = Integer.toHexString(id.hashCode() & 0xffffff);
 		String result;
 		try (Socket socket = new Socket()) {
 			socket.connect(daemon.callers, 1_000);
 			socket.setSoTimeout(15_500);
 			OutputStream out = socket.getOutputStream();
-			rig.record.line(id + " begins");
 			out.write(Client
-				.head("POST", "/plan/a", Configuration.HOST, id, 15_000, "key-of-office", UPLOAD_BYTES, "Model: m",
-						"Token-Usage: 11992,380", "Prefix-Hash: a1:512,b" + Integer.toHexString(id.hashCode() & 0xffffff)
-								+ ":4870,c" + Integer.toHexString(id.hashCode() & 0xffffff) + ":6610")
+				.head("POST", "/plan/a", Configuration.HOST, id, 15_000, "key-of-office", BODY_BYTES, "Model: m",
+						"Token-Usage: 11992,380", "Prefix-Hash: a1:512,b" + hash + ":4870,c" + hash + ":6610")
 				.getBytes(StandardCharsets.ISO_8859_1));
 			for (int number = 0; number < 100; number++) {
 				out.write(part);
 				Rig.sleep(UPLOAD_MILLIS / 100);
 			}
-			Http.Message message = Http.head(new BufferedInputStream(socket.getInputStream()));
-			result = (message == null) ? "connection closed" : message.firstLine.trim();
+			String line = Http.line(socket.getInputStream());
+			result = (line == null) ? "connection closed" : line.trim();
 		}
 		catch (IOException ex) {
 			result = ex.getMessage();
+			Rig.sleep(500);
 		}
 		rig.record.line(id + " gets: " + result);
 	}
