Answer every request that is open at a shutdown before the process ends

Cause: the controller, the queue and the shutdown each derived a bound of their own (2 s for new requests, the route's latest dispatch of 8 s for queued ones, 96% of the grace period for the process), and no part was responsible for a request that was open at the end: draining refused only later requests, and then the process halted.

Ruled out: a second signal, answers lost on the way (no engine received the requests).

Change: ShutdownSchedule derives all times from the signal and the grace period and is handed down. A request is sent, or goes on waiting, only if its response is expected before the response deadline; otherwise it gets a 503 with Retry-After while that is still true. OpenRequests holds the final step of each open request, which is run at the deadline, after which no request is left.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -17,6 +17,7 @@
 import org.cyclamenstall.internal.gateway.CallerServer;
 import org.cyclamenstall.internal.gateway.RoutedCallerProtocol;
 import org.cyclamenstall.internal.kernel.BootClock;
+import org.cyclamenstall.internal.kernel.ShutdownSchedule;
 import org.cyclamenstall.internal.logging.LogSetup;
 import org.cyclamenstall.internal.operators.Readiness;
 import org.cyclamenstall.internal.peers.load.FleetLoad;
@@ -44,16 +45,6 @@
 
 	private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
 
-	/**
-	 * Time during which a daemon that is shutting down still accepts requests, because
-	 * callers need it to detect that the daemon is not ready. A request accepted later
-	 * might not end before the process exits.
-	 */
-	private static final Duration SETTLE_TIME = Duration.ofMillis(2_000);
-
-	/** Minimum time the daemon keeps listening, so that late requests get a response. */
-	private static final Duration MINIMUM_SHUTDOWN_TIME = Duration.ofMillis(4_000);
-
 	private final RoutedDaemonSettings settings;
 
 	private final long incarnation = System.currentTimeMillis();
@@ -141,35 +132,45 @@
 	}
 
 	/**
-	 * Shuts down gracefully: reports not ready, accepts requests for the settle time,
-	 * then rejects new requests and waits until the open requests end or the maximum
-	 * shutdown time has passed.
+	 * Shuts down gracefully: reports not ready, accepts requests that can still be
+	 * answered for the settle time, then refuses new requests and waits until the open
+	 * requests end or the response deadline has passed. Each request that is open then
+	 * gets a final response.
 	 * @param signal the shutdown signal; the wait is aborted when it is raised a second
 	 * time
 	 */
 	public void shutDown(ShutdownSignal signal) {
 		this.events.record(new Event.ShutdownBegun(callers().openRequests()));
 		this.shuttingDown = true;
+		ShutdownSchedule schedule = new ShutdownSchedule(this.clock.nanoTime(), this.settings.gracePeriod());
 		callers().closeConnectionsAfterResponses();
-		long startedAtNanos = this.clock.nanoTime();
-		while (!isShutdownComplete(startedAtNanos)) {
-			if (this.clock.nanoTime() - startedAtNanos >= SETTLE_TIME.toNanos()) {
-				controller().drain();
+		controller().shutDown(schedule);
+		if (awaitOpenRequests(schedule, signal)) {
+			callers().endOpenRequests();
+			awaitLastResponses(schedule, signal);
+		}
+		this.events.record(new Event.ShutdownEnded(callers().openRequests(),
+				TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - schedule.startedAtNanos())));
+	}
+
+	private boolean awaitOpenRequests(ShutdownSchedule schedule, ShutdownSignal signal) {
+		while (schedule.mustListen(this.clock.nanoTime()) || callers().openRequests() > 0) {
+			if (this.clock.nanoTime() - schedule.responseDeadlineNanos() >= 0) {
+				return true;
 			}
 			if (signal.awaitSecond(DRAIN_POLL_INTERVAL)) {
-				break;
+				return false;
 			}
 		}
-		this.events.record(new Event.ShutdownEnded(callers().openRequests(),
-				TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - startedAtNanos)));
+		return true;
 	}
 
-	private boolean isShutdownComplete(long startedAtNanos) {
-		long elapsedNanos = this.clock.nanoTime() - startedAtNanos;
-		if (elapsedNanos >= this.settings.maximumShutdownTime().toNanos()) {
-			return true;
+	private void awaitLastResponses(ShutdownSchedule schedule, ShutdownSignal signal) {
+		while (callers().openRequests() > 0 && this.clock.nanoTime() - schedule.endNanos() < 0) {
+			if (signal.awaitSecond(DRAIN_POLL_INTERVAL)) {
+				return;
+			}
 		}
-		return elapsedNanos >= MINIMUM_SHUTDOWN_TIME.toNanos() && callers().openRequests() == 0;
 	}
 
 	/**
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemonSettings.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemonSettings.java
@@ -23,7 +23,7 @@
  * to the store must be detected
  * @param maximumChangeDelay the maximum time until a change of the configuration or of
  * the list of upstreams must be in force
- * @param maximumShutdownTime the maximum time of a graceful shutdown
+ * @param gracePeriod the time from the signal to shut down until the process is killed
  * @param placement the settings of the placement policy
  * @param loadExchange the settings of the load exchange with other daemons, or
  * {@code null} for none
@@ -31,6 +31,6 @@
 public record RoutedDaemonSettings(String host, String failureDomain, CallerSettings callers,
 		InetSocketAddress readinessAddress, String readinessPath, @Nullable InetSocketAddress metricsAddress,
 		@Nullable Duration maximumKeyStaleness, Duration maximumStoreDisconnection, Duration maximumChangeDelay,
-		Duration maximumShutdownTime, PlacementSettings placement, @Nullable LoadExchangeSettings loadExchange) {
+		Duration gracePeriod, PlacementSettings placement, @Nullable LoadExchangeSettings loadExchange) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -53,10 +53,10 @@
 		String requestId = this.protocol.requestIdentifier(exchange);
 		BodyDeadline deadline = BodyDeadline.start(exchange, this.requestReadTimeout,
 				() -> onBodyTimeout(exchange, requestId));
-		this.services.metrics().incrementOpenRequests();
+		this.services.openRequests().put(exchange, () -> refuseUnread(exchange, requestId, shuttingDown()));
 		exchange.addExchangeCompleteListener((completedExchange, next) -> {
 			deadline.stop();
-			this.services.metrics().decrementOpenRequests();
+			this.services.openRequests().remove(exchange);
 			this.idleConnections.onIdle(connection);
 			next.proceed();
 		});
@@ -114,7 +114,9 @@
 
 	private void execute(HttpServerExchange exchange, CallerRequest request) {
 		try {
-			new RequestExecution(exchange, request, this.services).start();
+			RequestExecution execution = new RequestExecution(exchange, request, this.services);
+			this.services.openRequests().replace(exchange, execution::endBeforeShutdown);
+			execution.start();
 		}
 		catch (RuntimeException ex) {
 			logger.error("Could not execute request {}", request.id(), ex);
@@ -129,14 +131,20 @@
 		exchange.endExchange();
 	}
 
+	private void onBodyTimeout(HttpServerExchange exchange, String requestId) {
+		refuseUnread(exchange, requestId, new RouterException(ErrorKind.REQUEST_READ_TIMEOUT,
+				"the body did not arrive within " + this.requestReadTimeout.toSeconds() + " s"));
+	}
+
 	/**
 	 * Refuses a request whose body did not arrive in time. If a response was already
 	 * started, it would wait for the rest of the body, so the request is terminated
-	 * first.
+	 * first. Has no effect on a request that was read completely.
 	 * @param exchange the exchange
 	 * @param requestId the request identifier
+	 * @param cause the cause of the refusal
 	 */
-	private void onBodyTimeout(HttpServerExchange exchange, String requestId) {
+	private void refuseUnread(HttpServerExchange exchange, String requestId, RouterException cause) {
 		if (exchange.isRequestComplete()) {
 			return;
 		}
@@ -147,11 +155,14 @@
 			IoUtils.safeClose(exchange.getConnection());
 		}
 		else {
-			refuse(exchange, requestId, new RouterException(ErrorKind.REQUEST_READ_TIMEOUT,
-					"the body did not arrive within " + this.requestReadTimeout.toSeconds() + " s"));
+			refuse(exchange, requestId, cause);
 		}
 	}
 
+	private static RouterException shuttingDown() {
+		return new RouterException(ErrorKind.SHUTTING_DOWN, "the daemon ends before the request was received");
+	}
+
 	private static void checkBodySize(long length, AcceptedRequest acceptedRequest) {
 		if (length > acceptedRequest.maximumBodyBytes()) {
 			throw tooLarge(acceptedRequest);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -57,7 +57,7 @@
 
 	private final CallerSettings settings;
 
-	private final GatewayMetrics metrics;
+	private final OpenRequests openRequests = new OpenRequests();
 
 	private final DefaultByteBufferPool bufferPool = new DefaultByteBufferPool(true, BUFFER_BYTES);
 
@@ -125,9 +125,9 @@
 	public CallerServer(CallerSettings settings, CallerProtocol protocol, TrafficController controller,
 			ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry, EventLog events) {
 		this.settings = settings;
-		this.metrics = new GatewayMetrics(registry);
 		GatewayServices services = new GatewayServices(controller, claims,
-				new UpstreamConnectionPool(this.bufferPool, clock), protocol.writer(), this.metrics, events, clock,
+				new UpstreamConnectionPool(this.bufferPool, clock), protocol.writer(),
+				new GatewayMetrics(registry, this.openRequests), this.openRequests, events, clock,
 				this.blockingExecutor);
 		Duration requestReadTimeout = Duration.ofSeconds(settings.requestReadSeconds());
 		this.idleConnections = new IdleConnections(clock,
@@ -226,12 +226,20 @@
 		IoUtils.safeClose(this.acceptingChannel);
 	}
 
+	/**
+	 * Gives each open request its final response, which states whether the request may
+	 * have been executed. Returns before the responses are sent.
+	 */
+	public void endOpenRequests() {
+		this.openRequests.endAll();
+	}
+
 	/**
 	 * Returns the number of requests whose response is not complete.
 	 * @return the number of open requests
 	 */
 	public int openRequests() {
-		return this.metrics.openRequests();
+		return this.openRequests.count();
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayMetrics.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayMetrics.java
@@ -1,7 +1,5 @@
 package org.cyclamenstall.internal.gateway;
 
-import java.util.concurrent.atomic.AtomicInteger;
-
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -37,9 +35,7 @@
 
 	private final Counter interruptions;
 
-	private final AtomicInteger openRequests = new AtomicInteger();
-
-	GatewayMetrics(PrometheusRegistry registry) {
+	GatewayMetrics(PrometheusRegistry registry, OpenRequests openRequests) {
 		this.responses = Counter.builder()
 			.name("cyclamenstall_answers_total")
 			.help("Complete responses, by class and entry.")
@@ -81,22 +77,10 @@
 		GaugeWithCallback.builder()
 			.name("cyclamenstall_open_requests")
 			.help("Requests received whose response is not complete.")
-			.callback((callback) -> callback.call(this.openRequests.get()))
+			.callback((callback) -> callback.call(openRequests.count()))
 			.register(registry);
 	}
 
-	void incrementOpenRequests() {
-		this.openRequests.incrementAndGet();
-	}
-
-	void decrementOpenRequests() {
-		this.openRequests.decrementAndGet();
-	}
-
-	int openRequests() {
-		return this.openRequests.get();
-	}
-
 	void recordResponse(Tier tier, String entry, long responseTimeNanos) {
 		this.responses.labelValues(tier.label(), entry).inc();
 		this.responseTime.labelValues(tier.label()).observe(responseTimeNanos / NANOS_PER_SECOND);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayServices.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayServices.java
@@ -16,12 +16,13 @@
  * @param connectionPool the pool of connections to upstreams
  * @param writer writes responses to callers
  * @param metrics the metrics of the server
+ * @param openRequests the requests whose response is not complete
  * @param events receives the events of requests
  * @param clock the monotonic clock
  * @param blockingExecutor runs tasks that must not block an I/O thread
  */
 record GatewayServices(TrafficController controller, ClaimRegistry claims, UpstreamConnectionPool connectionPool,
-		ResponseWriter writer, GatewayMetrics metrics, EventLog events, MonotonicClock clock,
+		ResponseWriter writer, GatewayMetrics metrics, OpenRequests openRequests, EventLog events, MonotonicClock clock,
 		Executor blockingExecutor) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -159,6 +159,15 @@
 		return this.answered || this.callerDisconnected;
 	}
 
+	/**
+	 * Ends the request with a final response, because the process ends. Has no effect if
+	 * the request has ended.
+	 */
+	void endBeforeShutdown() {
+		this.guard.run(() -> fail(ErrorKind.SHUTTING_DOWN,
+				"the daemon shuts down before the request was answered completely"));
+	}
+
 	private void writeError(ErrorReport report) {
 		this.relay.writeError(report);
 		this.answered = true;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -282,6 +282,17 @@
 		return this.responseTimes.latestDispatchNanos(ticket) - nowNanos;
 	}
 
+	/**
+	 * Returns whether a request that is sent now gets its response before a deadline.
+	 * @param deadlineNanos the deadline on the monotonic clock
+	 * @param ticket the request
+	 * @param nowNanos the time on the monotonic clock
+	 * @return {@code true} if its response, or the end of its timeout, is expected before
+	 */
+	boolean mayCompleteBefore(long deadlineNanos, PlacementTicket ticket, long nowNanos) {
+		return this.responseTimes.latestCompletionNanos(ticket, nowNanos) - deadlineNanos <= 0;
+	}
+
 	void recordFirstEvent(PlacementGrant grant, long nowNanos) {
 		MovingAverage firstEventAverage = this.responseTimes.firstEvent(grant.attributes());
 		long durationNanos = nowNanos - grant.startedAtNanos();
@@ -321,7 +332,7 @@
 		PlacementUpstream upstream = grant.placementUpstream();
 		upstream.recordEnd(grant);
 		if (result == AttemptResult.COMPLETED) {
-			this.responseTimes.completion(grant.attributes()).add(nowNanos - grant.startedAtNanos());
+			this.responseTimes.recordCompletion(grant.attributes(), nowNanos - grant.startedAtNanos());
 		}
 		boolean wasEjected = upstream.health().isEjected(nowNanos);
 		boolean wasUnhealthy = wasEjected || upstream.health().isHalfOpen(nowNanos);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -19,6 +19,7 @@
 import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.hosts.HostSnapshot;
+import org.cyclamenstall.internal.kernel.ShutdownSchedule;
 import org.cyclamenstall.internal.peers.load.FleetLoad;
 import org.cyclamenstall.internal.peers.load.UpstreamLoad;
 import org.cyclamenstall.internal.policy.DeferredCallbacks;
@@ -49,6 +50,9 @@
 
 	private static final String FIRST_ATTEMPT_REASON = "first";
 
+	/** Time after which a caller of a daemon that shuts down finds another daemon. */
+	private static final Duration SHUTDOWN_RETRY_DELAY = Duration.ofMillis(50);
+
 	private static final long TICK_INTERVAL_MILLIS = 50;
 
 	private final Map<String, PlacementPool> pools = new HashMap<>();
@@ -83,6 +87,8 @@
 
 	private boolean draining;
 
+	private @Nullable ShutdownSchedule shutdown;
+
 	private int unfinishedCount;
 
 	private long sequence;
@@ -145,8 +151,8 @@
 
 	private void enqueue(PlacementTicket ticket, long nowNanos) {
 		PlacementPool pool = poolOf(ticket);
-		if (this.draining) {
-			refuse(ticket, new Refusal(ErrorKind.SHUTTING_DOWN, "The daemon is shutting down", Duration.ofMillis(50)));
+		if (this.draining || (this.shutdown != null && !this.shutdown.acceptsRequests(nowNanos))) {
+			refuseShuttingDown(ticket, "The daemon is shutting down");
 			return;
 		}
 		if (!pool.hasLiveUpstream()) {
@@ -155,7 +161,7 @@
 			return;
 		}
 		pool.recordRequest(ticket.attributes(), nowNanos);
-		if (refuseQuarantined(ticket, nowNanos)) {
+		if (refuseQuarantined(ticket, nowNanos) || refuseUnanswerable(pool, ticket, nowNanos)) {
 			return;
 		}
 		pool.queue().add(ticket);
@@ -179,7 +185,7 @@
 			return;
 		}
 		pool.queue().dispatch((ticket) -> {
-			if (refuseQuarantined(ticket, nowNanos)) {
+			if (refuseQuarantined(ticket, nowNanos) || refuseUnanswerable(pool, ticket, nowNanos)) {
 				return true;
 			}
 			PlacementUpstream upstream = pool.chooseForFirstAttempt(ticket, nowNanos);
@@ -206,6 +212,22 @@
 		return true;
 	}
 
+	private boolean refuseUnanswerable(PlacementPool pool, PlacementTicket ticket, long nowNanos) {
+		if (mayCompleteBeforeShutdown(pool, ticket, nowNanos)) {
+			return false;
+		}
+		refuseShuttingDown(ticket, "The daemon shuts down before the request could be answered");
+		return true;
+	}
+
+	private boolean mayCompleteBeforeShutdown(PlacementPool pool, PlacementTicket ticket, long nowNanos) {
+		return this.shutdown == null || pool.mayCompleteBefore(this.shutdown.responseDeadlineNanos(), ticket, nowNanos);
+	}
+
+	private void refuseShuttingDown(PlacementTicket ticket, String detail) {
+		refuse(ticket, new Refusal(ErrorKind.SHUTTING_DOWN, detail, SHUTDOWN_RETRY_DELAY));
+	}
+
 	private void refuseUpstreamsFull(PlacementTicket ticket, double waitNanos, long nowNanos) {
 		refuse(ticket,
 				new Refusal(ErrorKind.UPSTREAMS_FULL,
@@ -319,6 +341,10 @@
 			return RetryDecision.PROMPT_SUSPECTED;
 		}
 		PlacementPool pool = poolOf(ticket);
+		// A stream that has started can only be resumed, however short the time.
+		if (reason != RetryReason.STREAM_CUT && !mayCompleteBeforeShutdown(pool, ticket, nowNanos)) {
+			return RetryDecision.SHUTTING_DOWN;
+		}
 		PlacementUpstream upstream = choice.apply(pool);
 		if (upstream == null) {
 			return RetryDecision.NO_UPSTREAM;
@@ -404,6 +430,20 @@
 		runLocked(() -> this.draining = true);
 	}
 
+	/**
+	 * Starts a shutdown. From now on, only those requests are sent to an upstream, and
+	 * remain queued, whose response is expected before the deadline of the schedule; the
+	 * others are refused at once, while it is certain that they were not executed.
+	 * @param schedule the times of the shutdown
+	 */
+	public void shutDown(ShutdownSchedule schedule) {
+		runLocked(() -> {
+			this.shutdown = schedule;
+			this.pools.values().forEach((pool) -> dispatchQueued(pool, this.clock.nanoTime()));
+			return true;
+		});
+	}
+
 	@Override
 	public int unfinishedRequests() {
 		return runLocked(() -> this.unfinishedCount);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RetryDecision.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RetryDecision.java
@@ -25,6 +25,9 @@
 	/** The request may have been executed and must not be executed twice. */
 	NOT_REPEATABLE,
 
+	/** The daemon shuts down before another attempt could be answered. */
+	SHUTTING_DOWN,
+
 	/** The caller has disconnected. */
 	CALLER_DISCONNECTED;
 
