Stop listening and close the connections before the process ends

What callers saw (LOST): in a planned stop in calm, the requests of the last 0.3 s before the process ended were closed without an answer.

Cause: the virtual machine stops all threads and then waits up to 0.3 s for those in a system call, as I/O threads are. The listening socket and the connections were left to the end of the process, so the kernel went on accepting requests that nobody read. Ruled out: a race between the last look at the open requests and the end, which would hit single requests of some ms.

After: at most the one request that crosses the close of the listening socket is unanswered (none read by the daemon).

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/LastResponseTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/gateway/LastResponseTests.java
@@ -140,6 +140,22 @@
 
 	}
 
+	@Nested
+	class WhenConnectionsAreIdle {
+
+		@Test
+		void theyAreClosed() throws Exception {
+			try (GatewayFixture gateway = GatewayFixture.withUpstreams()) {
+				Socket socket = gateway.send("GET", "/nothing", "");
+				socket.getInputStream().read();
+				awaitNoOpenRequest(gateway);
+				gateway.server.closeIdleConnections();
+				assertThat(readToEnd(socket), containsString("unknown-route"));
+			}
+		}
+
+	}
+
 	/**
 	 * Ticket of a request that waits until it is withdrawn.
 	 */
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Daemon.java
@@ -42,6 +42,9 @@
 
 	private static final JsonMapper mapper = JsonMapper.builder().build();
 
+	/** Time after the bound of a shutdown in which the last responses are sent. */
+	private static final Duration LAST_RESPONSES_TIME = Duration.ofSeconds(1);
+
 	private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(20);
 
 	private final DaemonSettings settings;
@@ -97,7 +100,8 @@
 	/**
 	 * Shuts down gracefully: reports not ready, notifies the peers, keeps serving callers
 	 * for the settle time, then stops accepting requests and waits until the requests in
-	 * flight end or the maximum shutdown time has passed.
+	 * flight end or the maximum shutdown time has passed. Each request that is open then
+	 * gets a final response.
 	 * @param signal the shutdown signal; the wait is aborted when it is raised a second
 	 * time
 	 */
@@ -115,14 +119,24 @@
 		long deadlineNanos = this.clock.nanoTime()
 				+ Duration.ofSeconds(this.settings.shutdown().maximumSeconds()).toNanos();
 		while (unfinishedRequests() > 0) {
-			if (this.clock.nanoTime() - deadlineNanos > 0 || signal.awaitSecond(DRAIN_POLL_INTERVAL)) {
+			if (signal.awaitSecond(DRAIN_POLL_INTERVAL)) {
+				logAbortedShutdown();
+				return;
+			}
+			if (this.clock.nanoTime() - deadlineNanos > 0) {
 				logAbortedShutdown();
+				endCallers(signal);
 				return;
 			}
 		}
+		endCallers(signal);
 		logger.info("Shutdown complete; no request was interrupted");
 	}
 
+	private void endCallers(ShutdownSignal signal) {
+		new CallerShutdown(callers(), signal, this.clock).run(this.clock.nanoTime() + LAST_RESPONSES_TIME.toNanos());
+	}
+
 	@Override
 	public void close() {
 		this.services.close();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -146,8 +146,8 @@
 		callers().closeConnectionsAfterResponses();
 		controller().shutDown(schedule);
 		if (awaitOpenRequests(schedule, signal)) {
-			callers().endOpenRequests();
-			awaitLastResponses(schedule, signal);
+			controller().drain();
+			new CallerShutdown(callers(), signal, this.clock).run(schedule.endNanos());
 		}
 		this.events.record(new Event.ShutdownEnded(callers().openRequests(),
 				TimeUnit.NANOSECONDS.toMillis(this.clock.nanoTime() - schedule.startedAtNanos())));
@@ -165,14 +165,6 @@
 		return true;
 	}
 
-	private void awaitLastResponses(ShutdownSchedule schedule, ShutdownSignal signal) {
-		while (callers().openRequests() > 0 && this.clock.nanoTime() - schedule.endNanos() < 0) {
-			if (signal.awaitSecond(DRAIN_POLL_INTERVAL)) {
-				return;
-			}
-		}
-	}
-
 	/**
 	 * Applies reloaded settings. Only the maximum staleness of API keys takes effect, at
 	 * once; all other settings are fixed at startup. A change of the caller port's
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -234,6 +234,14 @@
 		this.openRequests.endAll();
 	}
 
+	/**
+	 * Closes the connections on which no request is processed. Returns before they are
+	 * closed.
+	 */
+	public void closeIdleConnections() {
+		this.idleConnections.closeAll();
+	}
+
 	/**
 	 * Returns the number of requests whose response is not complete.
 	 * @return the number of open requests
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/IdleConnections.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/IdleConnections.java
@@ -11,11 +11,13 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Closes caller connections that have had no request for longer than the limit in force.
- * The limit applies to all connections, whenever they were opened.
+ * Closes caller connections that have had no request for longer than the limit in force,
+ * and all of them before the process ends. The limit applies to all connections, whenever
+ * they were opened.
  * <p>
  * Invariants: a connection is closed only on its own I/O thread, never while a request is
- * processed on it, and never before the limit has passed. Thread-safe.
+ * processed on it, and before the process ends never before the limit has passed.
+ * Thread-safe.
  */
 final class IdleConnections {
 
@@ -71,6 +73,14 @@
 		this.idleSinceNanos.remove(connection);
 	}
 
+	/**
+	 * Closes all connections without a request, each on its own I/O thread.
+	 */
+	void closeAll() {
+		this.idleSinceNanos.forEach((connection, sinceNanos) -> connection.getIoThread()
+			.execute(() -> closeIfIdleSince(connection, sinceNanos)));
+	}
+
 	private void check() {
 		long nowNanos = this.clock.nanoTime();
 		long limitNanos = this.limit.toNanos();
