Parse each byte of a stream a constant number of times

Cause: RelayedEventParser copied the whole unfinished event for each of its lines, and an event could have 1 MiB, so the work grew with the square of the number of lines.

Change: the parser handles each byte a constant number of times, an event has at most 64 KiB, and an event that comes twice in one response ends the attempt. Events of the deployments have some 60 bytes. A resumed stream may still begin with events that were relayed before.

The new tests in RelayedEventParserTests fail on the parser of before: it accepted all of it.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/upstream/RelayedEventParserTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/upstream/RelayedEventParserTests.java
@@ -82,6 +82,43 @@
 
 	}
 
+	@Nested
+	class WhenAStreamNeverEnds {
+
+		private static final int MAXIMUM_EVENT_BYTES = 65_536;
+
+		// Guards against a stream of short lines that kept its thread busy for a minute.
+		@ParameterizedTest
+		@ValueSource(strings = { ":\n", "a", "id: 1\n", "data: aaaaaaaaaaaaaaaa\r\n" })
+		void anEventWithoutAnEndIsRejectedAtItsMaximumSize(String part) {
+			RelayedEventParser parser = new RelayedEventParser(null, 1);
+			String event = part.repeat(MAXIMUM_EVENT_BYTES / part.length());
+			parse(parser, event, 16_384);
+			InvalidResponseException thrown = ThrowableAssert.catchThrowableOfType(InvalidResponseException.class,
+					() -> parse(parser, part, 16_384));
+			assertThat(thrown.failure(), is(AttemptFailure.TOO_LARGE));
+		}
+
+		// Guards against a stream that repeats one event and is never ended.
+		@Test
+		void anEventThatComesTwiceIsAnError() {
+			RelayedEventParser parser = new RelayedEventParser(null, 1);
+			InvalidResponseException thrown = ThrowableAssert.catchThrowableOfType(InvalidResponseException.class,
+					() -> parse(parser, "id: 1\ndata: a\n\nid: 1\ndata: a\n\n", 1_000));
+			assertThat(thrown.failure(), is(AttemptFailure.MALFORMED));
+			assertThat(RelayedEventParserTests.this.events, contains("id: 1\ndata: a\n\n"));
+		}
+
+		@Test
+		void aResumedStreamMayNotRepeatTheSameEventTwice() {
+			RelayedEventParser parser = new RelayedEventParser("2", 1);
+			InvalidResponseException thrown = ThrowableAssert.catchThrowableOfType(InvalidResponseException.class,
+					() -> parse(parser, "id: 2\ndata: b\n\nid: 2\ndata: b\n\n", 1_000));
+			assertThat(thrown.failure(), is(AttemptFailure.MALFORMED));
+		}
+
+	}
+
 	@Nested
 	class WhenTheStreamIsMalformed {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/RelayedEventParser.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/RelayedEventParser.java
@@ -9,22 +9,30 @@
 
 /**
  * Splits a stream into complete events without changing their bytes. Events must have
- * consecutive numbers as identifiers: events that were already relayed are skipped, a gap
- * is an error. The stream may end after any complete event. Not thread-safe.
+ * consecutive numbers as identifiers: a gap and an event that comes twice are errors. A
+ * resumed stream may begin with events that were already relayed; they are skipped. The
+ * stream may end after any complete event.
+ * <p>
+ * Invariants: the time to parse is proportional to the number of bytes, whatever they
+ * are, and at most one event is held in memory. Not thread-safe.
  */
 public final class RelayedEventParser implements StreamParser {
 
-	private static final int MAXIMUM_EVENT_BYTES = 1_048_576;
+	private static final int MAXIMUM_EVENT_BYTES = 65_536;
 
-	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+	private static final String ID_FIELD = "id:";
 
 	private final int tokensPerEvent;
 
+	/** Identifier of the last event that was relayed from an earlier response. */
+	private final @Nullable Long relayedId;
+
 	private final ByteArrayOutputStream event = new ByteArrayOutputStream(256);
 
-	private @Nullable Long lastId;
+	private final ByteArrayOutputStream line = new ByteArrayOutputStream(64);
 
-	private int lineStart;
+	/** Identifier of the previous event of this response. */
+	private @Nullable Long previousId;
 
 	private @Nullable String id;
 
@@ -35,23 +43,39 @@
 	 * @param tokensPerEvent the number of tokens in each event
 	 */
 	public RelayedEventParser(@Nullable String lastEventId, int tokensPerEvent) {
-		this.lastId = (lastEventId != null) ? parseNumber(lastEventId) : null;
+		this.relayedId = (lastEventId != null) ? parseNumber(lastEventId) : null;
 		this.tokensPerEvent = tokensPerEvent;
 	}
 
 	@Override
 	public void parse(ByteBuffer bytes, Consumer<StreamEvent> sink) {
 		while (bytes.hasRemaining()) {
-			byte next = bytes.get();
-			this.event.write(next);
-			if (next == '\n') {
+			int lineEnd = indexOfLineEnd(bytes);
+			append(bytes, (lineEnd >= 0) ? lineEnd + 1 - bytes.position() : bytes.remaining());
+			if (lineEnd >= 0) {
 				endLine(sink);
 			}
-			else if (this.event.size() > MAXIMUM_EVENT_BYTES) {
-				throw new InvalidResponseException(AttemptFailure.TOO_LARGE,
-						"an event exceeds " + MAXIMUM_EVENT_BYTES + " bytes");
+		}
+	}
+
+	private static int indexOfLineEnd(ByteBuffer bytes) {
+		for (int index = bytes.position(); index < bytes.limit(); index++) {
+			if (bytes.get(index) == '\n') {
+				return index;
 			}
 		}
+		return -1;
+	}
+
+	private void append(ByteBuffer bytes, int count) {
+		if (this.event.size() + count > MAXIMUM_EVENT_BYTES) {
+			throw new InvalidResponseException(AttemptFailure.TOO_LARGE,
+					"an event exceeds " + MAXIMUM_EVENT_BYTES + " bytes");
+		}
+		int start = bytes.arrayOffset() + bytes.position();
+		this.event.write(bytes.array(), start, count);
+		this.line.write(bytes.array(), start, count);
+		bytes.position(bytes.position() + count);
 	}
 
 	@Override
@@ -65,54 +89,37 @@
 	}
 
 	private void endLine(Consumer<StreamEvent> sink) {
-		byte[] bytes = this.event.toByteArray();
-		int end = bytes.length - 1;
-		if (end > this.lineStart && bytes[end - 1] == '\r') {
-			end--;
-		}
-		if (end == this.lineStart) {
-			endEvent(bytes, sink);
-			return;
+		String text = this.line.toString(StandardCharsets.ISO_8859_1);
+		this.line.reset();
+		int end = text.endsWith("\r\n") ? text.length() - 2 : text.length() - 1;
+		if (end == 0) {
+			endEvent(sink);
 		}
-		if (startsWithId(bytes, end)) {
-			this.id = new String(bytes, this.lineStart + ID_FIELD.length, end - this.lineStart - ID_FIELD.length,
-					StandardCharsets.US_ASCII)
-				.trim();
+		else if (text.startsWith(ID_FIELD)) {
+			this.id = text.substring(ID_FIELD.length(), end).trim();
 		}
-		this.lineStart = bytes.length;
 	}
 
-	private boolean startsWithId(byte[] bytes, int end) {
-		if (end - this.lineStart < ID_FIELD.length) {
-			return false;
-		}
-		for (int index = 0; index < ID_FIELD.length; index++) {
-			if (bytes[this.lineStart + index] != ID_FIELD[index]) {
-				return false;
-			}
-		}
-		return true;
-	}
-
-	private void endEvent(byte[] bytes, Consumer<StreamEvent> sink) {
+	private void endEvent(Consumer<StreamEvent> sink) {
 		String eventId = this.id;
+		byte[] bytes = this.event.toByteArray();
 		this.event.reset();
-		this.lineStart = 0;
 		this.id = null;
 		if (eventId == null) {
 			throw new InvalidResponseException(AttemptFailure.MALFORMED, "an event has no identifier");
 		}
 		long number = parseNumber(eventId);
-		Long last = this.lastId;
-		if (last != null && number <= last) {
-			return;
-		}
-		if (last != null && number != last + 1) {
+		boolean wasRelayed = this.relayedId != null && number <= this.relayedId;
+		Long previous = (this.previousId != null) ? this.previousId : this.relayedId;
+		boolean beginsBefore = this.previousId == null && wasRelayed;
+		if (previous != null && number != previous + 1 && !beginsBefore) {
 			throw new InvalidResponseException(AttemptFailure.MALFORMED,
-					"event " + number + " follows event " + last + " of the stream");
+					"event " + number + " follows event " + previous + " of the stream");
+		}
+		this.previousId = number;
+		if (!wasRelayed) {
+			sink.accept(new StreamEvent(bytes, this.tokensPerEvent, eventId));
 		}
-		this.lastId = number;
-		sink.accept(new StreamEvent(bytes, this.tokensPerEvent, eventId));
 	}
 
 	private static long parseNumber(String text) {
