Read responses in turns, so that none keeps an I/O thread

EndlessStreamTests on: no answer in 30 s beside events of short lines, one event again and again, and events with rising numbers.

Cause: ResponseReader read on as long as bytes came. A sender that is faster than its processing never let go of the thread.

Ruled out: the cost of the parser alone (events with rising numbers are parsed in linear time, and held the thread as well); memory.

Change: a reader processes at most 64 KiB or 5 ms for one read event, and then queues in ReadTurns. Readers that wait take turns one at a time, and after each the thread serves its other connections for as long as the turn took. A yield by a task alone would not do: tasks that queue themselves again are run before the selector is asked.

Normal streams never reach the limit, so their path is unchanged.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
@@ -18,6 +18,7 @@
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.http.ClientConnections;
 import org.cyclamenstall.internal.http.LimitedHttpClient;
+import org.cyclamenstall.internal.http.ReadTurns;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 import org.xnio.OptionMap;
@@ -50,6 +51,8 @@
 
 	private final MonotonicClock clock;
 
+	private final ReadTurns readTurns;
+
 	/**
 	 * Creates a pool.
 	 * @param buffers the buffer pool for new connections
@@ -58,6 +61,7 @@
 	public UpstreamConnectionPool(ByteBufferPool buffers, MonotonicClock clock) {
 		this.buffers = buffers;
 		this.clock = clock;
+		this.readTurns = new ReadTurns(clock);
 	}
 
 	/**
@@ -68,6 +72,14 @@
 		return this.clock;
 	}
 
+	/**
+	 * Returns the turns of the readers of responses.
+	 * @return the turns
+	 */
+	ReadTurns readTurns() {
+		return this.readTurns;
+	}
+
 	/**
 	 * Provides a pooled or new connection. Exactly one of the two callbacks is called, on
 	 * the I/O thread; for a pooled connection, before this method returns.
