Limit what is read from any connection for one read event

What callers saw: beside eight bodies without end, sent at full speed by other callers, short requests got no answer in 30 s.

Cause: the same as for responses, in readers that are not ours: the server discards the rest of a refused body as long as bytes come.

At the limit a read returns no bytes, so any reader lets go of the thread as if none had arrived. It covers callers, upstreams and the store: headers, chunk heads, bodies, trailers, discarded bytes. Turns of callers and upstreams on the same thread share one queue.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -18,6 +18,8 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
 import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.internal.http.ReadTurns;
+import org.cyclamenstall.internal.http.TurnLimitedSource;
 import org.cyclamenstall.internal.upstream.UpstreamConnectionPool;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.Service;
@@ -57,6 +59,8 @@
 
 	private final CallerSettings settings;
 
+	private final ReadTurns readTurns;
+
 	private final OpenRequests openRequests = new OpenRequests();
 
 	private final DefaultByteBufferPool bufferPool = new DefaultByteBufferPool(true, BUFFER_BYTES);
@@ -125,8 +129,9 @@
 	public CallerServer(CallerSettings settings, CallerProtocol protocol, TrafficController controller,
 			ClaimRegistry claims, MonotonicClock clock, PrometheusRegistry registry, EventLog events) {
 		this.settings = settings;
+		this.readTurns = new ReadTurns(clock);
 		GatewayServices services = new GatewayServices(controller, claims,
-				new UpstreamConnectionPool(this.bufferPool, clock), protocol.writer(),
+				new UpstreamConnectionPool(this.bufferPool, this.readTurns, clock), protocol.writer(),
 				new GatewayMetrics(registry, this.openRequests), this.openRequests, events, clock,
 				this.blockingExecutor);
 		Duration requestReadTimeout = Duration.ofSeconds(settings.requestReadSeconds());
@@ -164,6 +169,7 @@
 			openListener.setRootHandler(this.handler);
 			this.callerListener = openListener;
 			this.acceptingChannel = listen(startedWorker, address, (connection) -> {
+				TurnLimitedSource.attachTo(connection, this.readTurns);
 				this.idleConnections.onIdle(connection);
 				openListener.handleEvent(connection);
 			});
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
@@ -22,6 +22,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.StringWriteChannelListener;
+import org.cyclamenstall.kernel.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -50,6 +51,8 @@
 
 	private final ConcurrentLinkedDeque<IdleConnection> idleConnections = new ConcurrentLinkedDeque<>();
 
+	private final ReadTurns readTurns = new ReadTurns(MonotonicClock.SYSTEM);
+
 	private final InetSocketAddress address;
 
 	private final XnioWorker worker;
@@ -116,7 +119,7 @@
 		URI server = URI.create("http://" + hostAndPort());
 		try {
 			LimitedHttpClient.connect(new Callback<>((connection) -> send(connection, call, progress), progress),
-					server, this.worker.getIoThread(), this.buffers, OptionMap.EMPTY);
+					server, this.worker.getIoThread(), this.buffers, OptionMap.EMPTY, this.readTurns);
 		}
 		catch (RuntimeException ex) {
 			progress.fail(ex);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/LimitedHttpClient.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/LimitedHttpClient.java
@@ -19,7 +19,8 @@
 
 /**
  * Opens client connections whose response headers are limited by
- * {@link ResponseHeadLimit}. Stateless and thread-safe.
+ * {@link ResponseHeadLimit}, and whose reads are limited by {@link TurnLimitedSource}.
+ * Stateless and thread-safe.
  */
 public final class LimitedHttpClient {
 
@@ -33,10 +34,11 @@
 	 * @param thread the I/O thread of the connection
 	 * @param buffers the buffer pool of the connection
 	 * @param options the options of the socket
+	 * @param turns the turns of the readers of the thread
 	 */
 	public static void connect(ClientCallback<ClientConnection> callback, URI server, XnioIoThread thread,
-			ByteBufferPool buffers, OptionMap options) {
-		LimitingThread limitingThread = new LimitingThread(thread);
+			ByteBufferPool buffers, OptionMap options, ReadTurns turns) {
+		LimitingThread limitingThread = new LimitingThread(thread, turns);
 		UndertowClient.getInstance().connect(new ClientCallback<>() {
 
 			@Override
@@ -62,11 +64,14 @@
 
 		private final XnioIoThread delegate;
 
+		private final ReadTurns turns;
+
 		private @Nullable ResponseHeadLimit limit;
 
-		LimitingThread(XnioIoThread delegate) {
+		LimitingThread(XnioIoThread delegate, ReadTurns turns) {
 			super(delegate.getWorker(), delegate.getNumber());
 			this.delegate = delegate;
+			this.turns = turns;
 		}
 
 		ResponseHeadLimit limit() {
@@ -81,6 +86,7 @@
 		public IoFuture<StreamConnection> openStreamConnection(SocketAddress destination,
 				ChannelListener<? super StreamConnection> openListener, OptionMap options) {
 			return this.delegate.openStreamConnection(destination, (connection) -> {
+				TurnLimitedSource.attachTo(connection, this.turns);
 				ResponseHeadLimit newLimit = new ResponseHeadLimit(connection.getSourceChannel().getConduit());
 				connection.getSourceChannel().setConduit(newLimit);
 				this.limit = newLimit;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/ReadTurns.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/ReadTurns.java
@@ -13,8 +13,9 @@
 /**
  * Divides the I/O threads between the connections that send without a pause and all
  * others. A reader processes at most one turn for each read event; if more bytes wait, it
- * awaits its next turn here. Readers that wait take turns one at a time, and after each
- * turn the thread serves its other connections for as long as the turn took.
+ * awaits its next turn here ({@link TurnLimitedSource}). Readers that wait take turns one
+ * at a time, and after each turn the thread serves its other connections for as long as
+ * the turn took.
  * <p>
  * Invariant: at most half of the time of a thread is spent in turns that were awaited,
  * whatever the connections send. Thread-safe, provided that each call is made on the I/O
@@ -23,10 +24,10 @@
 public final class ReadTurns {
 
 	/** Maximum number of bytes that a reader processes in one turn. */
-	public static final int MAXIMUM_TURN_BYTES = 65_536;
+	static final int MAXIMUM_TURN_BYTES = 65_536;
 
 	/** Time after which a turn ends, even if fewer bytes were processed. */
-	public static final Duration MAXIMUM_TURN_TIME = Duration.ofMillis(5);
+	private static final Duration MAXIMUM_TURN_TIME = Duration.ofMillis(5);
 
 	private static final Duration MINIMUM_PAUSE = Duration.ofMillis(1);
 
@@ -42,13 +43,30 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Returns the time at which a turn starts.
+	 * @return the time in nanoseconds on the monotonic clock
+	 */
+	long now() {
+		return this.clock.nanoTime();
+	}
+
+	/**
+	 * Returns whether a turn has lasted for its maximum time.
+	 * @param startedAtNanos when it started
+	 * @return {@code true} if the reader must await its next turn
+	 */
+	boolean isOver(long startedAtNanos) {
+		return this.clock.nanoTime() - startedAtNanos >= MAXIMUM_TURN_TIME.toNanos();
+	}
+
 	/**
 	 * Runs a task at the next free turn. The reader must not be notified of readable
 	 * bytes meanwhile.
 	 * @param thread the current I/O thread
 	 * @param turn processes the next bytes, within the limits of a turn
 	 */
-	public void await(XnioIoThread thread, Runnable turn) {
+	void await(XnioIoThread thread, Runnable turn) {
 		this.waitingByThread.computeIfAbsent(thread, WaitingReaders::new).add(turn);
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseReader.java
@@ -3,14 +3,12 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
-import org.cyclamenstall.internal.http.ReadTurns;
 import org.jspecify.annotations.Nullable;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * Reads the body of a response as it arrives. A response that arrives faster than it is
- * processed does not keep the I/O thread: it is read in {@link ReadTurns turns}. Used on
- * one I/O thread; no data is passed on after the attempt has ended.
+ * Reads the body of a response as it arrives. Used on one I/O thread; no data is passed
+ * on after the attempt has ended.
  */
 abstract class ResponseReader {
 
@@ -24,8 +22,6 @@
 
 	private boolean suspended;
 
-	private boolean awaitingTurn;
-
 	ResponseReader(UpstreamAttempt attempt) {
 		this.attempt = attempt;
 	}
@@ -70,16 +66,9 @@
 		}
 	}
 
-	// Reads what is available, within the limits of one turn.
 	private void readAvailable() {
 		StreamSourceChannel source = this.channel;
-		long startedAtNanos = this.attempt.startTurn();
-		int turnBytes = 0;
 		while (source != null && !this.suspended && !this.attempt.hasEnded()) {
-			if (turnBytes >= ReadTurns.MAXIMUM_TURN_BYTES || this.attempt.isTurnOver(startedAtNanos)) {
-				awaitTurn(source);
-				return;
-			}
 			this.buffer.clear();
 			int count;
 			try {
@@ -98,22 +87,10 @@
 				onEnd();
 				return;
 			}
-			turnBytes += count;
 			this.attempt.onProgress();
 			this.buffer.flip();
 			processBytes(this.buffer);
 		}
 	}
 
-	private void awaitTurn(StreamSourceChannel source) {
-		source.suspendReads();
-		if (!this.awaitingTurn) {
-			this.awaitingTurn = true;
-			this.attempt.awaitTurn(() -> {
-				this.awaitingTurn = false;
-				readAvailable();
-			});
-		}
-	}
-
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -9,7 +9,6 @@
 import io.undertow.client.ClientExchange;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.http.ClientConnections;
-import org.cyclamenstall.internal.http.ReadTurns;
 import org.cyclamenstall.internal.http.ResponseHeadLimit;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.jspecify.annotations.Nullable;
@@ -204,31 +203,6 @@
 		startTimer(this.request.timeouts().gap());
 	}
 
-	/**
-	 * Returns whether a turn of the reader has lasted for its maximum time.
-	 * @param startedAtNanos when the turn started, on the monotonic clock
-	 * @return {@code true} if the reader must yield
-	 */
-	boolean isTurnOver(long startedAtNanos) {
-		return this.clock.nanoTime() - startedAtNanos >= ReadTurns.MAXIMUM_TURN_TIME.toNanos();
-	}
-
-	/**
-	 * Returns the start time of a turn of the reader.
-	 * @return the time on the monotonic clock
-	 */
-	long startTurn() {
-		return this.clock.nanoTime();
-	}
-
-	/**
-	 * Runs the reader again at its next turn.
-	 * @param turn reads the next bytes
-	 */
-	void awaitTurn(Runnable turn) {
-		this.connectionPool.readTurns().await(this.thread, turn);
-	}
-
 	/**
 	 * Returns whether the attempt has ended.
 	 * @return {@code true} if the listener must not be notified any more
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
@@ -49,19 +49,20 @@
 
 	private final ByteBufferPool buffers;
 
-	private final MonotonicClock clock;
-
 	private final ReadTurns readTurns;
 
+	private final MonotonicClock clock;
+
 	/**
 	 * Creates a pool.
 	 * @param buffers the buffer pool for new connections
+	 * @param readTurns the turns of the readers of the I/O threads
 	 * @param clock the clock that measures the age of idle connections
 	 */
-	public UpstreamConnectionPool(ByteBufferPool buffers, MonotonicClock clock) {
+	public UpstreamConnectionPool(ByteBufferPool buffers, ReadTurns readTurns, MonotonicClock clock) {
 		this.buffers = buffers;
+		this.readTurns = readTurns;
 		this.clock = clock;
-		this.readTurns = new ReadTurns(clock);
 	}
 
 	/**
@@ -72,14 +73,6 @@
 		return this.clock;
 	}
 
-	/**
-	 * Returns the turns of the readers of responses.
-	 * @return the turns
-	 */
-	ReadTurns readTurns() {
-		return this.readTurns;
-	}
-
 	/**
 	 * Provides a pooled or new connection. Exactly one of the two callbacks is called, on
 	 * the I/O thread; for a pooled connection, before this method returns.
@@ -103,7 +96,7 @@
 		connectCallback.timer = thread.executeAfter(connectCallback::onTimeout, timeout.toMillis(),
 				TimeUnit.MILLISECONDS);
 		LimitedHttpClient.connect(connectCallback, URI.create("http://" + hostPart(upstream) + ":" + upstream.port()),
-				thread, this.buffers, OPTIONS);
+				thread, this.buffers, OPTIONS, this.readTurns);
 	}
 
 	/**
