Keep a silent stream until its replacement has delivered an event

Cause: the silent attempt ran beside its replacement for at most 250 ms and was cancelled then, whatever the replacement did. With no attempt left, nothing remained of the stream.

Evidence: PausedEngineTests, five forms of replacement: 5 of 5 cut before the change, 5 of 5 whole after it. Ruled out: a denied replacement (the stream goes on then, EndToEndTests WhenAllEnginesPause passed before and after).

Change: the first event of the replacement ends the silent attempt, and nothing earlier does. The timer of 250 ms is gone.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -36,13 +36,6 @@
 
 	private static final int STATUS_OK = 200;
 
-	/**
-	 * Maximum time for which a silent attempt runs beside the one that replaces it. Long
-	 * enough for an upstream to refuse, short enough that a request is not executed twice
-	 * in parallel for longer.
-	 */
-	private static final Duration MAXIMUM_OVERLAP = Duration.ofMillis(250);
-
 	private final HttpServerExchange exchange;
 
 	private final CallerRequest request;
@@ -226,9 +219,6 @@
 			return false;
 		}
 		this.sendingBegan = true;
-		if (this.replacement.isReplacing(attempt)) {
-			schedule(MAXIMUM_OVERLAP, () -> endSilentAttempt(attempt));
-		}
 		return this.lifecycle.moveTo(RequestState.SENDING);
 	}
 
@@ -309,10 +299,10 @@
 
 	/**
 	 * Requests an attempt that replaces one whose upstream is silent, once a part of the
-	 * stream was relayed. The silent attempt goes on meanwhile, because its upstream may
-	 * only pause: until the replacement responds, or for {@link #MAXIMUM_OVERLAP} after
-	 * it was sent. If no other attempt is allowed or the replacement fails, it goes on
-	 * until the timeout of the response.
+	 * stream was relayed. The silent attempt goes on until the replacement delivers its
+	 * first event, because its upstream may only pause, and the replacement may be
+	 * refused or fail. If no other attempt is allowed or the replacement fails, it goes
+	 * on until the timeout of the response.
 	 * @param attempt the silent attempt
 	 * @param detail the detail message
 	 * @return {@code false} if the attempt must fail, because no part was relayed or its
