Do not pass on an interim response as the final one

Cause: the client library skips only 100 and ends its exchange with any other interim response; UpstreamAttempt took it for the response.

Change: a status below 200 ends the attempt as a malformed response (502, outcome unknown; an idempotent request is sent elsewhere) and closes the connection.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -25,6 +25,9 @@
 
 	private static final long NO_DEADLINE_MILLIS = -1;
 
+	/** Lowest status of a final response; those below announce one. */
+	private static final int FIRST_FINAL_STATUS = 200;
+
 	private final UpstreamRequest request;
 
 	private final ListedHost upstream;
@@ -167,6 +170,14 @@
 			return;
 		}
 		ResponseHeadLimit.onHeadReceived(exchange.getConnection());
+		int status = exchange.getResponse().getResponseCode();
+		if (status < FIRST_FINAL_STATUS) {
+			// The client ends its exchange with an interim response, so the final one
+			// could
+			// not be assigned to it.
+			fail(AttemptFailure.MALFORMED, "the upstream sent an interim response with status " + status);
+			return;
+		}
 		ResponseHead responseHead = this.request.protocol().parseHead(this.request, context, exchange.getResponse());
 		this.responseHead = responseHead;
 		reportLoad(responseHead);
