Limit the memory of all buffered responses together

EndlessBodyTests counted 206 OutOfMemoryErrors in the logs of three daemons (three framings); the short requests beside them were still answered in these runs, but such an error can end any thread of the daemon.

Cause: each body had a limit of 8 MiB, and nothing limited all of them.

A body that gets no more ends like one above its own limit: 502, unknown; an idempotent request is sent elsewhere. The limit on the bytes of one read event also applies to the other ports of the caller server now.

After: EndlessBodyTests 3 of 3 without an OutOfMemoryError; before, 3 of 3 failed.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -169,7 +169,6 @@
 			openListener.setRootHandler(this.handler);
 			this.callerListener = openListener;
 			this.acceptingChannel = listen(startedWorker, address, (connection) -> {
-				TurnLimitedSource.attachTo(connection, this.readTurns);
 				this.idleConnections.onIdle(connection);
 				openListener.handleEvent(connection);
 			});
@@ -199,8 +198,12 @@
 
 	private AcceptingChannel<StreamConnection> listen(XnioWorker startedWorker, InetSocketAddress address,
 			ChannelListener<StreamConnection> openListener) throws IOException {
+		ChannelListener<StreamConnection> limitingListener = (connection) -> {
+			TurnLimitedSource.attachTo(connection, this.readTurns);
+			openListener.handleEvent(connection);
+		};
 		AcceptingChannel<StreamConnection> channel = startedWorker.createStreamConnectionServer(address,
-				ChannelListeners.openListenerAdapter(openListener), socketOptions(this.settings));
+				ChannelListeners.openListenerAdapter(limitingListener), socketOptions(this.settings));
 		channel.resumeAccepts();
 		return channel;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/BufferedResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/BufferedResponseReader.java
@@ -6,9 +6,9 @@
 import io.undertow.util.Headers;
 
 /**
- * Buffers a response up to a maximum size. A response is treated as truncated if neither
- * its headers nor its status nor the protocol defines where it ends. Used on one I/O
- * thread.
+ * Buffers a response up to a maximum size, and within the {@link BodyBudget} of all
+ * responses. A response is treated as truncated if neither its headers nor its status nor
+ * the protocol defines where it ends. Used on one I/O thread.
  */
 final class BufferedResponseReader extends ResponseReader {
 
@@ -26,9 +26,12 @@
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+	private final BodyBudget.Reservation reservation;
+
 	BufferedResponseReader(UpstreamAttempt attempt, ResponseHead responseHead, AttemptContext context,
-			UpstreamProtocol protocol) {
+			UpstreamProtocol protocol, BodyBudget budget) {
 		super(attempt);
+		this.reservation = budget.reserve();
 		this.responseHead = responseHead;
 		this.context = context;
 		this.protocol = protocol;
@@ -36,10 +39,22 @@
 
 	@Override
 	protected void processBytes(ByteBuffer bytes) {
-		this.body.write(bytes.array(), bytes.position(), bytes.remaining());
-		if (this.body.size() > MAXIMUM_BYTES) {
+		int size = this.body.size() + bytes.remaining();
+		if (size > MAXIMUM_BYTES) {
 			attempt().fail(AttemptFailure.TOO_LARGE, "the response exceeds " + MAXIMUM_BYTES + " bytes");
 		}
+		else if (!this.reservation.tryGrow(size)) {
+			attempt().fail(AttemptFailure.TOO_LARGE,
+					"the response exceeds the memory that is left for responses, at " + size + " bytes");
+		}
+		else {
+			this.body.write(bytes.array(), bytes.position(), bytes.remaining());
+		}
+	}
+
+	@Override
+	protected void onAttemptEnded() {
+		this.reservation.release();
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseReader.java
@@ -38,6 +38,12 @@
 	 */
 	protected abstract void onEnd();
 
+	/**
+	 * Called when the attempt has ended, however it did.
+	 */
+	protected void onAttemptEnded() {
+	}
+
 	/**
 	 * Returns the attempt whose response is read.
 	 * @return the attempt
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -188,7 +188,8 @@
 			case MALFORMED -> fail(AttemptFailure.MALFORMED, responseHead.detail());
 			case STREAM -> read(exchange, new StreamedResponseReader(this, responseHead,
 					this.request.protocol().newStreamParser(context), this.listener));
-			default -> read(exchange, new BufferedResponseReader(this, responseHead, context, this.request.protocol()));
+			default -> read(exchange, new BufferedResponseReader(this, responseHead, context, this.request.protocol(),
+					this.connectionPool.bodyBudget()));
 		}
 	}
 
@@ -279,6 +280,9 @@
 		}
 		this.ended = true;
 		stopTimer();
+		if (this.reader != null) {
+			this.reader.onAttemptEnded();
+		}
 		return true;
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
@@ -49,6 +49,8 @@
 
 	private final ByteBufferPool buffers;
 
+	private final BodyBudget bodyBudget = BodyBudget.ofHeap();
+
 	private final ReadTurns readTurns;
 
 	private final MonotonicClock clock;
@@ -73,6 +75,14 @@
 		return this.clock;
 	}
 
+	/**
+	 * Returns the budget of the bodies of buffered responses.
+	 * @return the budget
+	 */
+	BodyBudget bodyBudget() {
+		return this.bodyBudget;
+	}
+
 	/**
 	 * Provides a pooled or new connection. Exactly one of the two callbacks is called, on
 	 * the I/O thread; for a pooled connection, before this method returns.
