Close the connection of a caller whose response is given up

Cause: HttpServerExchange.endExchange completes an exchange. Three places used it to give one up: the end of a request whose caller left, a body that could not be read, a refusal after the response had begun. Ruled out: the relay itself; it wrote nothing in these cases (the empty 200 has no headers of ours).

Change: CallerConnections.abort closes the connection, then completes the exchange, in that order; with the connection closed nothing is written. All places that give up an exchange call it.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerDisconnectDetector.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerDisconnectDetector.java
@@ -10,9 +10,10 @@
 
 /**
  * Detects that a caller closed its connection, or the sending half of it, while its
- * request is processed. Bytes of a pipelined request are pushed back to the connection
- * and end the monitoring. Used on the I/O thread of the exchange, after the request was
- * read completely.
+ * request is processed. The two cannot be told apart, so a caller that ends its sending
+ * half counts as disconnected. Bytes of a pipelined request are pushed back to the
+ * connection and end the monitoring. Used on the I/O thread of the exchange, after the
+ * request was read completely.
  */
 final class CallerDisconnectDetector {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -16,7 +16,6 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.ErrorTable;
 import org.cyclamenstall.errors.RouterException;
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
 /**
@@ -127,8 +126,7 @@
 	private void onBodyFailure(HttpServerExchange exchange, String requestId, IOException ex) {
 		logger.debug("Caller of request {} disconnected before the end of the body", requestId, ex);
 		this.services.metrics().recordCallerDisconnect();
-		exchange.setPersistent(false);
-		exchange.endExchange();
+		CallerConnections.abort(exchange);
 	}
 
 	private void onBodyTimeout(HttpServerExchange exchange, String requestId) {
@@ -151,8 +149,7 @@
 		exchange.setPersistent(false);
 		Connectors.terminateRequest(exchange);
 		if (exchange.isResponseStarted()) {
-			exchange.endExchange();
-			IoUtils.safeClose(exchange.getConnection());
+			CallerConnections.abort(exchange);
 		}
 		else {
 			refuse(exchange, requestId, cause);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerStream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerStream.java
@@ -125,7 +125,7 @@
 	private void close() {
 		this.channel.suspendWrites();
 		if (this.state == State.INTERRUPTED) {
-			IoUtils.safeClose(this.exchange.getConnection());
+			CallerConnections.abort(this.exchange);
 		}
 		else {
 			this.exchange.endExchange();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -18,7 +18,6 @@
 import org.cyclamenstall.policy.RetryReason;
 import org.cyclamenstall.policy.Ticket;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /**
@@ -144,7 +143,7 @@
 			this.guard.tolerate(() -> writeError(ErrorReport.ofUnknownOutcome(cause, null)));
 		}
 		if (!isSettled()) {
-			IoUtils.safeClose(this.exchange.getConnection());
+			CallerConnections.abort(this.exchange);
 		}
 	}
 
@@ -447,7 +446,7 @@
 			end(AttemptResult.CANCELLED);
 			settleClaim();
 		}
-		this.relay.endExchange();
+		this.relay.abort();
 	}
 
 	private void onClaimDecision(AttemptExecution attempt, ClaimDecision decision) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/ResponseRelay.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/ResponseRelay.java
@@ -92,11 +92,12 @@
 	}
 
 	/**
-	 * Ends the exchange of a caller that disconnected.
+	 * Ends the exchange of a caller that disconnected without completing its response. A
+	 * caller that only closed the sending half of its connection sees the close.
 	 */
-	void endExchange() {
+	void abort() {
 		stopStallTimer();
-		this.exchange.endExchange();
+		CallerConnections.abort(this.exchange);
 	}
 
 	@Override
