Require API keys also while the list of client accounts is empty

After the last client account was taken out, its key, and any other, still ran (CONFIG, ROUTE).

Cause: whether keys are required followed from the list holding an account.

Change: keys are required if the configuration has the field, whatever it holds; an absent field still means that no keys are in use.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/routes/RouteTable.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/routes/RouteTable.java
@@ -32,16 +32,18 @@
 	 * Creates a table.
 	 * @param version the version of the configuration
 	 * @param routes the routes
-	 * @param accounts the client accounts; empty if requests need no API key
+	 * @param accounts the client accounts
+	 * @param requiresApiKeys whether requests need an API key unless their route is
+	 * public; without an account, such requests are refused then
 	 * @param services the upstream services; the last one of several with the same name
 	 * takes effect
 	 * @param connectionLimits the limits on callers
 	 */
 	public RouteTable(long version, Collection<Route> routes, Collection<RouteAccount> accounts,
-			Collection<UpstreamService> services, ConnectionLimits connectionLimits) {
+			boolean requiresApiKeys, Collection<UpstreamService> services, ConnectionLimits connectionLimits) {
 		this.version = version;
 		this.routeCount = routes.size();
-		this.requiresApiKeys = !accounts.isEmpty();
+		this.requiresApiKeys = requiresApiKeys;
 		this.routesByVirtualHost = routes.stream()
 			.sorted(Comparator.comparingInt(RouteTable::prefixLength).reversed())
 			.collect(Collectors.groupingBy((route) -> route.options().virtualHost()));
@@ -84,7 +86,8 @@
 
 	/**
 	 * Returns whether requests need an API key unless their route is public.
-	 * @return {@code true} if the configuration has accounts
+	 * @return {@code true} if the configuration defines client accounts, even if there
+	 * are none at present
 	 */
 	public boolean requiresApiKeys() {
 		return this.requiresApiKeys;
