Limit the memory of all request bodies, and restart essential threads that fail

Cause: bodies were buffered without a limit on their sum, with a copy each; with the heap full every allocation is a full collection. The store watcher caught no errors. Ruled out: the parser and the readers (TurnLimitedSource bounds their work per turn).

Change: BodyBudget, until now for responses, limits the bodies of requests to a fifth of the heap and refuses the surplus truthfully (503, body-memory-exhausted, not-run, Retry-After); CallerBodyReader reserves before it allocates. EssentialThread starts a loop again after any exception or error, with a log line and a gauge. The second belongs to the first: without it the thread stays gone after any exhaustion.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
@@ -112,6 +112,34 @@
 
 	}
 
+	@Nested
+	class WhenMemoryIsExhausted {
+
+		@Test
+		void theErrorIsPassedOnAndTheRecordsAreListedAgain() {
+			respondWith(() -> new StoreListing(List.of(), 7));
+			respondWith(() -> {
+				throw new OutOfMemoryError("scripted");
+			});
+			respondWith(() -> new StoreListing(List.of(), 9));
+			pollTimes(1);
+			assertThat(endsWithAnError(), is(true));
+			pollTimes(1);
+			assertThat(StoreWatcherTests.this.calls, contains("list", "changes after 7", "list"));
+		}
+
+		private boolean endsWithAnError() {
+			try {
+				StoreWatcherTests.this.watcher.poll();
+				return false;
+			}
+			catch (OutOfMemoryError ex) {
+				return true;
+			}
+		}
+
+	}
+
 	@Nested
 	class WhileNothingChanges {
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/ErrorKind.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/ErrorKind.java
@@ -26,6 +26,9 @@
 	/** The request body exceeds the limit of the catalogue entry or of the daemon. */
 	BODY_TOO_LARGE,
 
+	/** The bodies of other requests take the memory that is set aside for bodies. */
+	BODY_MEMORY_EXHAUSTED,
+
 	/** The request body was not received in time. */
 	REQUEST_READ_TIMEOUT,
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/ErrorTable.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/errors/ErrorTable.java
@@ -36,6 +36,7 @@
 		addNotRun(ErrorKind.UNKNOWN_ROUTE, 404, null, EXIT_REJECTED);
 		addNotRun(ErrorKind.METHOD_NOT_ALLOWED, 405, null, EXIT_REJECTED);
 		addNotRun(ErrorKind.BODY_TOO_LARGE, 413, null, EXIT_REJECTED);
+		addNotRun(ErrorKind.BODY_MEMORY_EXHAUSTED, 503, SHORT_RETRY_DELAY, EXIT_UNAVAILABLE);
 		addNotRun(ErrorKind.REQUEST_READ_TIMEOUT, 408, null, EXIT_REJECTED);
 		addNotRun(ErrorKind.IDEMPOTENCY_KEY_REQUIRED, 400, null, EXIT_REJECTED);
 		addNotRun(ErrorKind.IDEMPOTENCY_KEY_REUSED, 422, null, EXIT_REJECTED);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -17,6 +17,7 @@
 import org.cyclamenstall.internal.gateway.CallerServer;
 import org.cyclamenstall.internal.gateway.RoutedCallerProtocol;
 import org.cyclamenstall.internal.kernel.BootClock;
+import org.cyclamenstall.internal.kernel.EssentialThread;
 import org.cyclamenstall.internal.kernel.ShutdownSchedule;
 import org.cyclamenstall.internal.logging.LogSetup;
 import org.cyclamenstall.internal.operators.Readiness;
@@ -110,6 +111,8 @@
 		this.routes.addListener(this::applyConnectionLimits);
 		registerGauge("cyclamenstall_confirmed_age_seconds", "Time since the last successful read of the store.",
 				() -> this.staleness.ageNanos() / NANOS_PER_SECOND);
+		registerGauge("cyclamenstall_thread_restarts", "Loops of essential threads that failed and were started again.",
+				EssentialThread::restartCount);
 		registerGauge("cyclamenstall_route_table_version", "Version of the active route table.",
 				() -> this.routes.current().map(RouteTable::version).orElse(0L));
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/events/BoundedEventLog.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/events/BoundedEventLog.java
@@ -12,6 +12,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.cyclamenstall.events.Event;
 import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.internal.kernel.EssentialThread;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.Service;
 import org.jspecify.annotations.Nullable;
@@ -67,10 +68,7 @@
 
 	@Override
 	public void start() {
-		Thread writerThread = new Thread(this::write, "event-log");
-		writerThread.setDaemon(true);
-		this.writer = writerThread;
-		writerThread.start();
+		this.writer = EssentialThread.start("event-log", this::write, () -> this.closed);
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 
-import io.undertow.io.Receiver;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -16,6 +15,7 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.ErrorTable;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.internal.http.BodyBudget;
 import org.xnio.StreamConnection;
 
 /**
@@ -65,7 +65,6 @@
 		}
 		try {
 			AcceptedRequest acceptedRequest = this.protocol.acceptHeaders(exchange, requestId);
-			checkBodySize(exchange.getRequestContentLength(), acceptedRequest);
 			receiveBody(exchange, acceptedRequest, requestId, deadline);
 		}
 		catch (RouterException ex) {
@@ -75,40 +74,13 @@
 
 	private void receiveBody(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId,
 			BodyDeadline deadline) {
-		Receiver receiver = exchange.getRequestReceiver();
-		receiver.setMaxBufferSize(acceptedRequest.maximumBodyBytes());
-		receiver.receiveFullBytes((readExchange, body) -> {
-			if (deadline.stop()) {
-				onBody(readExchange, acceptedRequest, requestId, body);
-			}
-		}, (failedExchange, ex) -> {
-			if (ex instanceof Receiver.RequestToLargeException) {
-				onBodyTooLarge(failedExchange, acceptedRequest, requestId, deadline);
-			}
-			else if (deadline.stop()) {
-				onBodyFailure(failedExchange, requestId, ex);
-			}
+		BodyBudget.Reservation reservation = this.services.bodyBudget().reserve();
+		exchange.addExchangeCompleteListener((completedExchange, next) -> {
+			reservation.release();
+			next.proceed();
 		});
-	}
-
-	// The deadline is not stopped: it limits the time in which the rest of the body is
-	// discarded.
-	private void onBodyTooLarge(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId,
-			BodyDeadline deadline) {
-		if (!deadline.isFinished()) {
-			refuse(exchange, requestId, tooLarge(acceptedRequest));
-		}
-	}
-
-	private void onBody(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId, byte[] body) {
-		try {
-			checkBodySize(body.length, acceptedRequest);
-			CallerRequest request = acceptedRequest.withBody(body);
-			exchange.dispatch(SameThreadExecutor.INSTANCE, () -> execute(exchange, request));
-		}
-		catch (RouterException ex) {
-			refuse(exchange, requestId, ex);
-		}
+		CallerBodyReader.start(exchange, acceptedRequest.maximumBodyBytes(), reservation,
+				new BodyListener(exchange, acceptedRequest, requestId, deadline));
 	}
 
 	private void execute(HttpServerExchange exchange, CallerRequest request) {
@@ -123,12 +95,6 @@
 		}
 	}
 
-	private void onBodyFailure(HttpServerExchange exchange, String requestId, IOException ex) {
-		logger.debug("Caller of request {} disconnected before the end of the body", requestId, ex);
-		this.services.metrics().recordCallerDisconnect();
-		CallerConnections.abort(exchange);
-	}
-
 	private void onBodyTimeout(HttpServerExchange exchange, String requestId) {
 		refuseUnread(exchange, requestId, new RouterException(ErrorKind.REQUEST_READ_TIMEOUT,
 				"the body did not arrive within " + this.requestReadTimeout.toSeconds() + " s"));
@@ -160,12 +126,6 @@
 		return new RouterException(ErrorKind.SHUTTING_DOWN, "the daemon ends before the request was received");
 	}
 
-	private static void checkBodySize(long length, AcceptedRequest acceptedRequest) {
-		if (length > acceptedRequest.maximumBodyBytes()) {
-			throw tooLarge(acceptedRequest);
-		}
-	}
-
 	private static RouterException tooLarge(AcceptedRequest acceptedRequest) {
 		return new RouterException(ErrorKind.BODY_TOO_LARGE,
 				"the body exceeds " + acceptedRequest.maximumBodyBytes() + " bytes");
@@ -198,4 +158,70 @@
 		});
 	}
 
+	/**
+	 * Handles the end of the body of one request. Used on the I/O thread of the exchange.
+	 */
+	private final class BodyListener implements CallerBodyReader.Listener {
+
+		private final HttpServerExchange exchange;
+
+		private final AcceptedRequest acceptedRequest;
+
+		private final String requestId;
+
+		private final BodyDeadline deadline;
+
+		BodyListener(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId,
+				BodyDeadline deadline) {
+			this.exchange = exchange;
+			this.acceptedRequest = acceptedRequest;
+			this.requestId = requestId;
+			this.deadline = deadline;
+		}
+
+		@Override
+		public void onBody(byte[] body) {
+			if (!this.deadline.stop()) {
+				return;
+			}
+			try {
+				CallerRequest request = this.acceptedRequest.withBody(body);
+				this.exchange.dispatch(SameThreadExecutor.INSTANCE, () -> execute(this.exchange, request));
+			}
+			catch (RouterException ex) {
+				refuse(this.exchange, this.requestId, ex);
+			}
+		}
+
+		@Override
+		public void onTooLarge() {
+			refuseUnfinished(tooLarge(this.acceptedRequest));
+		}
+
+		@Override
+		public void onBudgetExhausted() {
+			refuseUnfinished(new RouterException(ErrorKind.BODY_MEMORY_EXHAUSTED,
+					"the bodies of other requests take the memory that is set aside for bodies"));
+		}
+
+		// The deadline is not stopped: it limits the time in which the rest of the body
+		// is discarded.
+		private void refuseUnfinished(RouterException cause) {
+			if (!this.deadline.isFinished()) {
+				refuse(this.exchange, this.requestId, cause);
+			}
+		}
+
+		@Override
+		public void onFailed(IOException ex) {
+			if (!this.deadline.stop()) {
+				return;
+			}
+			logger.debug("Caller of request {} disconnected before the end of the body", this.requestId, ex);
+			CallerHandler.this.services.metrics().recordCallerDisconnect();
+			CallerConnections.abort(this.exchange);
+		}
+
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerServer.java
@@ -18,6 +18,7 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
 import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.internal.http.BodyBudget;
 import org.cyclamenstall.internal.http.ReadTurns;
 import org.cyclamenstall.internal.http.TurnLimitedSource;
 import org.cyclamenstall.internal.upstream.UpstreamConnectionPool;
@@ -132,8 +133,8 @@
 		this.readTurns = new ReadTurns(clock);
 		GatewayServices services = new GatewayServices(controller, claims,
 				new UpstreamConnectionPool(this.bufferPool, this.readTurns, clock), protocol.writer(),
-				new GatewayMetrics(registry, this.openRequests), this.openRequests, events, clock,
-				this.blockingExecutor);
+				new GatewayMetrics(registry, this.openRequests), this.openRequests, BodyBudget.ofRequests(), events,
+				clock, this.blockingExecutor);
 		Duration requestReadTimeout = Duration.ofSeconds(settings.requestReadSeconds());
 		this.idleConnections = new IdleConnections(clock,
 				Duration.ofSeconds(settings.idleSeconds()).plus(requestReadTimeout));
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayServices.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/GatewayServices.java
@@ -4,6 +4,7 @@
 
 import org.cyclamenstall.claims.ClaimRegistry;
 import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.internal.http.BodyBudget;
 import org.cyclamenstall.internal.upstream.UpstreamConnectionPool;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.TrafficController;
@@ -17,12 +18,13 @@
  * @param writer writes responses to callers
  * @param metrics the metrics of the server
  * @param openRequests the requests whose response is not complete
+ * @param bodyBudget limits the memory of the bodies of all requests
  * @param events receives the events of requests
  * @param clock the monotonic clock
  * @param blockingExecutor runs tasks that must not block an I/O thread
  */
 record GatewayServices(TrafficController controller, ClaimRegistry claims, UpstreamConnectionPool connectionPool,
-		ResponseWriter writer, GatewayMetrics metrics, OpenRequests openRequests, EventLog events, MonotonicClock clock,
-		Executor blockingExecutor) {
+		ResponseWriter writer, GatewayMetrics metrics, OpenRequests openRequests, BodyBudget bodyBudget,
+		EventLog events, MonotonicClock clock, Executor blockingExecutor) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
@@ -20,6 +20,7 @@
 import org.apache.logging.log4j.Logger;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.internal.kernel.EssentialThread;
 import org.cyclamenstall.internal.policy.quarantine.PromptQuarantine;
 import org.cyclamenstall.internal.policy.quarantine.QuarantineReport;
 import org.cyclamenstall.kernel.MonotonicClock;
@@ -121,9 +122,7 @@
 		try {
 			DatagramSocket newSocket = new DatagramSocket(this.settings.address());
 			this.socket = newSocket;
-			Thread receiver = new Thread(() -> receiveReports(newSocket), "load-receiver");
-			receiver.setDaemon(true);
-			receiver.start();
+			EssentialThread.start("load-receiver", () -> receiveReports(newSocket), newSocket::isClosed);
 			this.executor.execute(this::sendReportAndReschedule);
 		}
 		catch (IOException ex) {
@@ -164,9 +163,15 @@
 		try {
 			sendReport();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			logger.error("Could not report the load", ex);
 		}
+		finally {
+			reschedule();
+		}
+	}
+
+	private void reschedule() {
 		try {
 			this.executor.schedule(this::sendReportAndReschedule, intervalMillis(), TimeUnit.MILLISECONDS);
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -247,12 +247,18 @@
 	}
 
 	private void tickSafely() {
+		boolean completed = false;
 		try {
 			tick();
+			completed = true;
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			logger.error("Periodic processing of queued requests failed", ex);
-			rescheduleTick();
+		}
+		finally {
+			if (!completed) {
+				rescheduleTick();
+			}
 		}
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/BufferedResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/BufferedResponseReader.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 
 import io.undertow.util.Headers;
+import org.cyclamenstall.internal.http.BodyBudget;
 
 /**
  * Buffers a response up to a maximum size, and within the {@link BodyBudget} of all
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamConnectionPool.java
@@ -16,6 +16,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.connector.ByteBufferPool;
 import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.internal.http.BodyBudget;
 import org.cyclamenstall.internal.http.ClientConnections;
 import org.cyclamenstall.internal.http.LimitedHttpClient;
 import org.cyclamenstall.internal.http.ReadTurns;
@@ -49,7 +50,7 @@
 
 	private final ByteBufferPool buffers;
 
-	private final BodyBudget bodyBudget = BodyBudget.ofHeap();
+	private final BodyBudget bodyBudget = BodyBudget.ofResponses();
 
 	private final ReadTurns readTurns;
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
@@ -13,6 +13,7 @@
 import org.cyclamenstall.errors.RouterException;
 import org.cyclamenstall.events.Event;
 import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.internal.kernel.EssentialThread;
 import org.cyclamenstall.kernel.Service;
 import org.cyclamenstall.store.StoreChange;
 import org.cyclamenstall.store.StoreChanges;
@@ -87,10 +88,7 @@
 
 	@Override
 	public void start() {
-		Thread watchThread = new Thread(this::run, "store-follower");
-		watchThread.setDaemon(true);
-		this.thread = watchThread;
-		watchThread.start();
+		this.thread = EssentialThread.start("store-follower", this::run, () -> this.closed);
 	}
 
 	@Override
@@ -129,6 +127,11 @@
 			this.listingValid = false;
 			return WatchResult.FAILED;
 		}
+		catch (Error ex) {
+			// A listener may have missed a change.
+			this.listingValid = false;
+			throw ex;
+		}
 		finally {
 			this.listeners.forEach(StoreListener::onPollCompleted);
 		}
