Elect a leader by a lease on the store, with its revision as the fencing token

StoreListener.onListing gets the listing with its index instead of the records alone: an absent record has the version of the listing. The tests pass an index now and check the same.

--- /dev/null
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/leadership/ExploredStore.java
@@ -0,0 +1,108 @@
+package org.cyclamenstall.test.leadership;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.cyclamenstall.store.ConditionalWriteResult;
+import org.cyclamenstall.store.StoreRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Store with one record and leases, on simulated time. Not thread-safe.
+ */
+final class ExploredStore {
+
+	static final String KEY = "leader";
+
+	private final Map<Long, Long> leaseEnds = new HashMap<>();
+
+	/** Time by which each lease ends too early: a planted fault. */
+	private final long earlyEndNanos;
+
+	private final long leaseNanos;
+
+	private long lastLease;
+
+	private long revision = 1;
+
+	private @Nullable StoreRecord record;
+
+	private long recordLease;
+
+	private long pausedSinceNanos = -1;
+
+	ExploredStore(Duration lease, Duration earlyEnd) {
+		this.leaseNanos = lease.toNanos();
+		this.earlyEndNanos = earlyEnd.toNanos();
+	}
+
+	long revision() {
+		return this.revision;
+	}
+
+	@Nullable StoreRecord record() {
+		return this.record;
+	}
+
+	/**
+	 * Ends the leases whose time has passed, unless an outage pauses them.
+	 * @param nowNanos the time
+	 * @return whether the record was removed
+	 */
+	boolean expire(long nowNanos) {
+		if (this.pausedSinceNanos >= 0) {
+			return false;
+		}
+		this.leaseEnds.values().removeIf((end) -> end - nowNanos <= 0);
+		return removeUnboundRecord();
+	}
+
+	private boolean removeUnboundRecord() {
+		if (this.record == null || this.leaseEnds.containsKey(this.recordLease)) {
+			return false;
+		}
+		this.record = null;
+		this.revision++;
+		return true;
+	}
+
+	void pauseLeases(long nowNanos) {
+		this.pausedSinceNanos = nowNanos;
+	}
+
+	void resumeLeases(long nowNanos) {
+		long pausedNanos = nowNanos - this.pausedSinceNanos;
+		this.leaseEnds.replaceAll((lease, end) -> end + pausedNanos);
+		this.pausedSinceNanos = -1;
+	}
+
+	long obtainLease(long nowNanos) {
+		this.lastLease++;
+		this.leaseEnds.put(this.lastLease, nowNanos + this.leaseNanos - this.earlyEndNanos);
+		return this.lastLease;
+	}
+
+	boolean renewLease(long lease, long nowNanos) {
+		return this.leaseEnds.replace(lease, nowNanos + this.leaseNanos - this.earlyEndNanos) != null;
+	}
+
+	boolean endLease(long lease) {
+		this.leaseEnds.remove(lease);
+		return removeUnboundRecord();
+	}
+
+	ConditionalWriteResult write(byte[] value, long lease) {
+		if (this.record != null) {
+			return new ConditionalWriteResult.Conflict(this.record);
+		}
+		if (!this.leaseEnds.containsKey(lease)) {
+			return new ConditionalWriteResult.LeaseEnded();
+		}
+		this.revision++;
+		this.record = new StoreRecord(KEY, value, this.revision);
+		this.recordLease = lease;
+		return new ConditionalWriteResult.Applied(this.revision);
+	}
+
+}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
@@ -249,8 +249,8 @@
 		}
 
 		@Override
-		public void onListing(List<StoreRecord> records) {
-			records.forEach((record) -> StoreWatcherTests.this.notifications.add("listed " + record.key()));
+		public void onListing(StoreListing listing) {
+			listing.records().forEach((record) -> StoreWatcherTests.this.notifications.add("listed " + record.key()));
 		}
 
 		@Override
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchListenerFailureTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchListenerFailureTests.java
@@ -10,6 +10,7 @@
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.watch.WatchedHostList;
 import org.cyclamenstall.junit.ManualClock;
+import org.cyclamenstall.store.StoreListing;
 import org.cyclamenstall.store.StoreRecord;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +36,7 @@
 			throw new IllegalStateException("thrown by the test");
 		});
 		this.hosts.addListener(received::add);
-		this.hosts.onListing(List.of(new StoreRecord("upstreams/host", new byte[0], 1)));
+		this.hosts.onListing(new StoreListing(List.of(new StoreRecord("upstreams/host", new byte[0], 1)), 1));
 		assertThat(this.hosts.isListed(), is(true));
 		assertThat(received, hasSize(1));
 	}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchedHostListTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchedHostListTests.java
@@ -11,6 +11,7 @@
 import org.cyclamenstall.internal.watch.WatchedHostList;
 import org.cyclamenstall.junit.ManualClock;
 import org.cyclamenstall.store.StoreChange;
+import org.cyclamenstall.store.StoreListing;
 import org.cyclamenstall.store.StoreRecord;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -37,7 +38,7 @@
 			EventLog.NONE);
 
 	private void applyListing(StoreRecord... records) {
-		this.hosts.onListing(List.of(records));
+		this.hosts.onListing(new StoreListing(List.of(records), 1));
 	}
 
 	private void applyChange(StoreRecord record) {
@@ -110,8 +111,8 @@
 
 		@Test
 		void keysOutsideThePrefixAreIgnored() {
-			WatchedHostListTests.this.hosts
-				.onListing(List.of(new StoreRecord("other/one", "one".getBytes(StandardCharsets.UTF_8), 1)));
+			WatchedHostListTests.this.hosts.onListing(new StoreListing(
+					List.of(new StoreRecord("other/one", "one".getBytes(StandardCharsets.UTF_8), 1)), 1));
 			assertThat(hostNames(), empty());
 		}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
@@ -342,6 +342,76 @@
 
 	}
 
+	/**
+	 * This daemon leads the fleet.
+	 *
+	 * @param token the fencing token
+	 */
+	record LeadershipTaken(long token) implements Event {
+
+	}
+
+	/**
+	 * This daemon no longer leads the fleet.
+	 *
+	 * @param token the fencing token of the leadership that ended
+	 * @param reason {@code resigned} or {@code lost}
+	 */
+	record LeadershipEnded(long token, String reason) implements Event {
+
+	}
+
+	/**
+	 * A lease that is not used any more could not be ended; it ends by itself.
+	 *
+	 * @param lease the lease
+	 * @param detail the cause
+	 */
+	record LeaseNotEnded(long lease, String detail) implements Event {
+
+	}
+
+	/**
+	 * The counts of a window were settled in the store.
+	 *
+	 * @param window the number of the window
+	 * @param accounts the number of client accounts with requests
+	 * @param requests the number of requests of all accounts
+	 * @param ageMillis the time since the end of the window
+	 */
+	record WindowSettled(long window, int accounts, long requests, long ageMillis) implements Event {
+
+	}
+
+	/**
+	 * The usage of a window was reported to the platform.
+	 *
+	 * @param window the number of the window
+	 * @param token the fencing token
+	 * @param result the result of the call
+	 * @param ageMillis the time since the end of the window
+	 */
+	record UsageReported(long window, long token, String result, long ageMillis) implements Event {
+
+	}
+
+	/**
+	 * A number of upstreams was ordered from the platform.
+	 *
+	 * @param service the name of the service
+	 * @param domain the failure domain
+	 * @param preemptible whether the platform may take the upstreams away
+	 * @param count the number that was ordered
+	 * @param present the number that is listed and not leaving
+	 * @param needed the number of upstreams that the service needs in all failure domains
+	 * @param token the fencing token
+	 * @param result the result of the call
+	 */
+	record UpstreamsOrdered(String service, String domain, boolean preemptible, int count, int present, double needed,
+			long token, String result) implements Event {
+
+	}
+
 	/**
 	 * Events of a type were dropped because of the rate limit or a full queue.
 	 *
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/routes/WatchedRouteTable.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/routes/WatchedRouteTable.java
@@ -13,6 +13,7 @@
 import org.cyclamenstall.routes.RouteTableCodec;
 import org.cyclamenstall.routes.RouteTableView;
 import org.cyclamenstall.store.StoreChange;
+import org.cyclamenstall.store.StoreListing;
 import org.cyclamenstall.store.StoreRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -59,8 +60,8 @@
 	}
 
 	@Override
-	public void onListing(List<StoreRecord> records) {
-		records.forEach(this::apply);
+	public void onListing(StoreListing listing) {
+		listing.records().forEach(this::apply);
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreListener.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreListener.java
@@ -1,10 +1,9 @@
 package org.cyclamenstall.internal.watch;
 
 import java.time.Duration;
-import java.util.List;
 
 import org.cyclamenstall.store.StoreChange;
-import org.cyclamenstall.store.StoreRecord;
+import org.cyclamenstall.store.StoreListing;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,9 +15,9 @@
 	/**
 	 * Called with all watched records after each listing. Records are listed at the
 	 * start, and again when changes may have been missed.
-	 * @param records the records, which replace all earlier ones
+	 * @param listing the records, which replace all earlier ones
 	 */
-	void onListing(List<StoreRecord> records);
+	void onListing(StoreListing listing);
 
 	/**
 	 * Called for each change after a listing. A change that is already contained in the
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
@@ -140,7 +140,7 @@
 	private void readListing(long sentAtNanos) {
 		StoreListing listing = this.store.list(this.prefix, LIST_TIMEOUT);
 		recordResponse();
-		this.listeners.forEach((listener) -> listener.onListing(listing.records()));
+		this.listeners.forEach((listener) -> listener.onListing(listing));
 		this.index = listing.index();
 		this.listingValid = true;
 		this.staleness.recordConfirmation(sentAtNanos);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchedHostList.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchedHostList.java
@@ -24,6 +24,7 @@
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.store.StoreChange;
+import org.cyclamenstall.store.StoreListing;
 import org.cyclamenstall.store.StoreRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -113,10 +114,10 @@
 	}
 
 	@Override
-	public synchronized void onListing(List<StoreRecord> allRecords) {
+	public synchronized void onListing(StoreListing listing) {
 		Set<String> listedKeys = new HashSet<>();
 		boolean changed = false;
-		for (StoreRecord record : allRecords) {
+		for (StoreRecord record : listing.records()) {
 			if (record.key().startsWith(this.prefix)) {
 				listedKeys.add(record.key());
 				changed |= applyRecord(record);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/lib/ServiceNames.java
@@ -45,6 +45,18 @@
 	/** Exchange of the load among daemons. */
 	public static final String LOAD_EXCHANGE = "load-exchange";
 
+	/** Election of the leader of the fleet. */
+	public static final String LEADERSHIP = "leadership";
+
+	/** Exchange of the counts of client accounts among daemons. */
+	public static final String METERING = "metering";
+
+	/** Reports of the usage of client accounts to the platform. */
+	public static final String USAGE_REPORTS = "usage-reports";
+
+	/** Orders of upstreams from the platform. */
+	public static final String UPSTREAM_ORDERS = "upstream-orders";
+
 	private ServiceNames() {
 	}
 
