Report the usage of client accounts, settled once for each window

Each daemon sends its cumulative counts of the last windows to the leader and two standbys, twice a second; the leader settles the sums of a window in the store on the condition that its slot is unchanged, and only what is settled is sent, until it is accepted.

Evidence: 60,000 interleavings of three leaders that take turns, with lost answers and late writes: no window has two reports; with a store that ignores conditions (planted) the exploration finds them. UsageReportTests with three processes: calm, leader killed, stopped as planned, paused; platform silent; store away: all requests are reported, once.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
@@ -53,6 +53,9 @@
 
 	final PromptQuarantine quarantine;
 
+	/** Names of the accounts of the requests that upstreams began. */
+	final List<String> startedAccounts = new ArrayList<>();
+
 	final PlacementTrafficController controller;
 
 	/** Called for each event after it was recorded. */
@@ -74,7 +77,8 @@
 		this.quarantine = new PromptQuarantine(() -> 1, RandomSource.XO_RO_SHI_RO_128_PP.create(seed),
 				this.events::add);
 		this.controller = new PlacementTrafficController(new PlacementSettings(10_000, 0.16, FLEET_RETRIES),
-				new FixtureHostList(), failureDomain, this.fleetLoad, this.quarantine, clock,
+				new FixtureHostList(), failureDomain, this.fleetLoad, this.quarantine,
+				(attributes, ageNanos) -> this.startedAccounts.add(attributes.account().name()), clock,
 				RandomSource.XO_RO_SHI_RO_128_PP.create(seed), (event) -> {
 					this.events.add(event);
 					this.eventListener.accept(event);
--- a/org.cyclamenstall.wire/src/main/thrift/peer.thrift
+++ b/org.cyclamenstall.wire/src/main/thrift/peer.thrift
@@ -161,6 +161,34 @@
   1: required list<LoadReport> reports
 }
 
+/** Counts the requests that upstreams began in one window, from its start until now. */
+struct WindowCounts {
+  1: required i64 window
+  // Requests by the name of the client account.
+  2: required map<string, i32> requestsByAccount
+}
+
+/** Tells the daemons the time and to whom they send their counts, from the leader. */
+struct CollectorNotice {
+  // Fencing token of the leader.
+  1: required i64 token
+  // Time of day, in milliseconds since the epoch.
+  2: required i64 timeMillis
+  // Daemons that receive the counts as well as the leader.
+  3: optional list<LoadEndpoint> standbys
+}
+
+/** Holds the contents of one datagram to or from a daemon that collects counts. */
+struct MeteringDatagram {
+  1: required LoadEndpoint sender
+  // Start time of the sender, in milliseconds since the epoch.
+  2: required i64 incarnation
+  // Time of day of the sender, in milliseconds since the epoch.
+  3: required i64 timeMillis
+  4: optional list<WindowCounts> windows
+  5: optional CollectorNotice notice
+}
+
 service PeerService {
   ExchangeResponse exchange(1: ExchangeRequest request) throws (1: PeerRefusal refusal)
   ClaimReport queryClaim(1: ClaimQuery query) throws (1: PeerRefusal refusal)
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Coordination.java
@@ -0,0 +1,91 @@
+package org.cyclamenstall.internal.daemon;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.cyclamenstall.control.ControlApi;
+import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.internal.kernel.BootClock;
+import org.cyclamenstall.internal.leadership.LeadershipService;
+import org.cyclamenstall.internal.leadership.LeadershipSettings;
+import org.cyclamenstall.internal.metering.CollectedCounts;
+import org.cyclamenstall.internal.metering.FleetClock;
+import org.cyclamenstall.internal.metering.LocalCounts;
+import org.cyclamenstall.internal.metering.MeteringExchange;
+import org.cyclamenstall.internal.metering.UsageReporting;
+import org.cyclamenstall.internal.metering.WindowReporter;
+import org.cyclamenstall.internal.watch.StoreListener;
+import org.cyclamenstall.kernel.ServiceRegistry;
+import org.cyclamenstall.kernel.SuspendAwareClock;
+import org.cyclamenstall.lib.ServiceNames;
+import org.cyclamenstall.policy.StartedRequests;
+
+/**
+ * Creates the services for the work that one daemon does for all: the election of the
+ * leader, the collection of counts, and the reports. Not thread-safe.
+ */
+final class Coordination {
+
+	private final CoordinationSettings settings;
+
+	private final RoutedDeployment deployment;
+
+	private final EventLog events;
+
+	private final LeadershipService leadership;
+
+	private final FleetClock fleetClock;
+
+	private final LocalCounts localCounts;
+
+	private final CollectedCounts collectedCounts = new CollectedCounts();
+
+	private final SuspendAwareClock clock = new BootClock();
+
+	Coordination(CoordinationSettings settings, RoutedDeployment deployment, String host, long incarnation,
+			UniformRandomProvider random, EventLog events) {
+		this.settings = settings;
+		this.deployment = deployment;
+		this.events = events;
+		this.fleetClock = new FleetClock(this.clock, System::currentTimeMillis);
+		this.localCounts = new LocalCounts(settings.metering().schedule(), this.fleetClock);
+		String collectorAddress = settings.metering().address().getAddress().getHostAddress() + ":"
+				+ settings.metering().address().getPort();
+		this.leadership = new LeadershipService(new LeadershipSettings(settings.leaseDuration(), collectorAddress),
+				host, incarnation, deployment.leasedStore(), this.clock, random, events);
+	}
+
+	StartedRequests startedRequests() {
+		return this.localCounts;
+	}
+
+	StoreListener storeListener() {
+		return this.leadership;
+	}
+
+	void register(ServiceRegistry services, String failureDomain, long incarnation, PrometheusRegistry metrics) {
+		services.register(ServiceNames.LEADERSHIP, this.leadership);
+		services.register(ServiceNames.METERING, new MeteringExchange(this.settings.metering(), failureDomain,
+				incarnation, this.leadership, this.localCounts, this.collectedCounts, this.fleetClock, this.clock));
+		ControlApi controlApi = this.deployment.controlApi();
+		if (controlApi != null && this.settings.reportsUsage()) {
+			services.register(ServiceNames.USAGE_REPORTS,
+					new UsageReporting(new WindowReporter(this.settings.metering().schedule(), this.collectedCounts,
+							this.fleetClock, this.deployment.store(), this.deployment.leasedStore(), controlApi,
+							this.leadership, this.events)));
+		}
+		GaugeWithCallback.builder()
+			.name("cyclamenstall_leadership_token")
+			.help("Fencing token of this daemon if it leads the fleet, otherwise 0.")
+			.callback((collector) -> collector.call(this.leadership.token()))
+			.register(metrics);
+	}
+
+	/**
+	 * Gives up the leadership, because the daemon shuts down.
+	 */
+	void resign() {
+		this.leadership.resign();
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -34,7 +34,9 @@
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.ServiceRegistry;
 import org.cyclamenstall.lib.ServiceNames;
+import org.cyclamenstall.policy.StartedRequests;
 import org.cyclamenstall.routes.RouteTable;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Creates, starts and shuts down the services of a daemon that serves the routes of a
@@ -66,6 +68,11 @@
 
 	private final ApiKeyAuthorization keyAuthorization;
 
+	/**
+	 * Work that one daemon does for all, or {@code null} if the settings ask for none.
+	 */
+	private final @Nullable Coordination coordination;
+
 	private volatile boolean shuttingDown;
 
 	private volatile boolean wasReady;
@@ -89,14 +96,25 @@
 				random(), events);
 		watcher.addListener(this.routes);
 		watcher.addListener(this.hosts);
+		this.coordination = (settings.coordination() != null) ? new Coordination(settings.coordination(), deployment,
+				settings.host(), this.incarnation, random(), events) : null;
+		if (this.coordination != null) {
+			watcher.addListener(this.coordination.storeListener());
+		}
 		FleetLoad fleetLoad = new FleetLoad();
 		PromptQuarantine quarantine = new PromptQuarantine(fleetLoad::daemonCount, random(), events);
 		registerGauge("cyclamenstall_quarantined_prompt_parts", "Prompt parts that crash upstreams.", quarantine::size);
-		this.services.register(ServiceNames.TRAFFIC, new PlacementTrafficController(settings.placement(), this.hosts,
-				settings.failureDomain(), fleetLoad, quarantine, this.clock, random(), events, this.metrics));
+		this.services.register(ServiceNames.TRAFFIC,
+				new PlacementTrafficController(settings.placement(), this.hosts, settings.failureDomain(), fleetLoad,
+						quarantine,
+						(this.coordination != null) ? this.coordination.startedRequests() : StartedRequests.NONE,
+						this.clock, random(), events, this.metrics));
 		if (settings.loadExchange() != null) {
 			registerLoadExchange(settings.loadExchange(), fleetLoad, quarantine);
 		}
+		if (this.coordination != null) {
+			this.coordination.register(this.services, settings.failureDomain(), this.incarnation, this.metrics);
+		}
 		RoutedCallerProtocol protocol = new RoutedCallerProtocol(this.routes, this.keyAuthorization,
 				deployment.requestHeaderCodec(), deployment.upstreamProtocol(), deployment.responseWriter(),
 				settings.host(), this.incarnation, this.clock, random());
@@ -148,6 +166,9 @@
 		ShutdownSchedule schedule = new ShutdownSchedule(this.clock.nanoTime(), this.settings.gracePeriod());
 		callers().closeConnectionsAfterResponses();
 		controller().shutDown(schedule);
+		if (this.coordination != null) {
+			this.coordination.resign();
+		}
 		if (awaitOpenRequests(schedule, signal)) {
 			controller().drain();
 			new CallerShutdown(callers(), signal, this.clock).run(schedule.endNanos());
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemonSettings.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemonSettings.java
@@ -27,10 +27,13 @@
  * @param placement the settings of the placement policy
  * @param loadExchange the settings of the load exchange with other daemons, or
  * {@code null} for none
+ * @param coordination the settings of the work that one daemon does for all, or
+ * {@code null} for none
  */
 public record RoutedDaemonSettings(String host, String failureDomain, CallerSettings callers,
 		InetSocketAddress readinessAddress, String readinessPath, @Nullable InetSocketAddress metricsAddress,
 		@Nullable Duration maximumKeyStaleness, Duration maximumStoreDisconnection, Duration maximumChangeDelay,
-		Duration gracePeriod, PlacementSettings placement, @Nullable LoadExchangeSettings loadExchange) {
+		Duration gracePeriod, PlacementSettings placement, @Nullable LoadExchangeSettings loadExchange,
+		@Nullable CoordinationSettings coordination) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDeployment.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDeployment.java
@@ -1,17 +1,22 @@
 package org.cyclamenstall.internal.daemon;
 
+import org.cyclamenstall.control.ControlApi;
 import org.cyclamenstall.hosts.HostCodec;
 import org.cyclamenstall.internal.gateway.RequestHeaderCodec;
 import org.cyclamenstall.internal.gateway.ResponseWriter;
 import org.cyclamenstall.internal.upstream.UpstreamProtocol;
 import org.cyclamenstall.routes.RouteTableCodec;
+import org.cyclamenstall.store.LeasedStore;
 import org.cyclamenstall.store.WatchedStore;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Adapters that integrate a daemon into its deployment: the store, its keys, and the
  * codecs of its records and protocols. Immutable.
  *
  * @param store the store of the deployment
+ * @param leasedStore the same store, for writes
+ * @param controlApi the API of the platform, or {@code null} if it has none
  * @param watchedPrefix the prefix of the keys to watch
  * @param configurationKey the key of the configuration record
  * @param routeTableCodec the decoder of the configuration record
@@ -21,8 +26,9 @@
  * @param upstreamProtocol the protocol spoken with upstreams
  * @param responseWriter the writer of responses to callers
  */
-public record RoutedDeployment(WatchedStore store, String watchedPrefix, String configurationKey,
-		RouteTableCodec routeTableCodec, String hostsPrefix, HostCodec hostCodec, RequestHeaderCodec requestHeaderCodec,
-		UpstreamProtocol upstreamProtocol, ResponseWriter responseWriter) {
+public record RoutedDeployment(WatchedStore store, LeasedStore leasedStore, @Nullable ControlApi controlApi,
+		String watchedPrefix, String configurationKey, RouteTableCodec routeTableCodec, String hostsPrefix,
+		HostCodec hostCodec, RequestHeaderCodec requestHeaderCodec, UpstreamProtocol upstreamProtocol,
+		ResponseWriter responseWriter) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RoutedCallerProtocol.java
@@ -6,8 +6,6 @@
 import io.undertow.util.HttpString;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenstall.catalogue.CatalogueEntry;
-import org.cyclamenstall.catalogue.EntryKind;
-import org.cyclamenstall.catalogue.Tier;
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
 import org.cyclamenstall.events.Event;
@@ -35,9 +33,6 @@
  */
 public final class RoutedCallerProtocol implements CallerProtocol {
 
-	private static final CatalogueEntry ANONYMOUS_ACCOUNT = new CatalogueEntry("anonymous", EntryKind.ACCOUNT,
-			"anonymous", Tier.INTERACTIVE, null, null, null, null, null, null, null, null, null, null, null, null);
-
 	/**
 	 * Maximum idle time of a connection that is reused for a non-idempotent request. The
 	 * longer a connection was idle, the likelier the upstream has closed it, and a
@@ -186,7 +181,8 @@
 			RequestOptions requestOptions = new RequestOptions(service, priority, options.maximumAttempts(),
 					options.latencyObjective(), options.eventGapObjective(), options.firstEventTimeout(),
 					responseTimeout, options.resumable(), tokensPerEvent(service), this.headers.prompt());
-			CatalogueEntry accountEntry = (this.account != null) ? this.account.entry() : ANONYMOUS_ACCOUNT;
+			CatalogueEntry accountEntry = (this.account != null) ? this.account.entry()
+					: RequestAttributes.ANONYMOUS_ACCOUNT;
 			RequestAttributes attributes = new RequestAttributes(this.requestId, this.route.entry(), accountEntry,
 					this.route.entry().tier(), this.arrivalNanos, options.idempotent(), options.streamed(), null,
 					requestOptions);
--- /dev/null
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringExchange.java
@@ -0,0 +1,275 @@
+package org.cyclamenstall.internal.metering;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.errors.RouterException;
+import org.cyclamenstall.internal.kernel.EssentialThread;
+import org.cyclamenstall.internal.leadership.LeadershipService;
+import org.cyclamenstall.internal.peers.load.LoadEndpoint;
+import org.cyclamenstall.kernel.Service;
+import org.cyclamenstall.kernel.SuspendAwareClock;
+import org.cyclamenstall.leadership.Leader;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends the counts of this daemon to the leader and its standbys in datagrams, and
+ * receives those of the other daemons if it is one of them. As the leader it tells the
+ * daemons that send to it the time and the standbys. Counts are cumulative and sent at
+ * every interval, so a lost datagram only delays them. Thread-safe.
+ */
+public final class MeteringExchange implements Service {
+
+	private static final Logger logger = LogManager.getLogger(MeteringExchange.class);
+
+	private static final Duration INTERVAL = Duration.ofMillis(500);
+
+	/** Maximum size of a datagram with several windows, which avoids fragmentation. */
+	private static final int MAXIMUM_DATAGRAM_BYTES = 1_400;
+
+	/** Size of the largest datagram that is received completely. */
+	private static final int RECEIVE_BUFFER_BYTES = 9_000;
+
+	/** Times that the last counts are sent when the daemon shuts down. */
+	private static final int LAST_SENDS = 3;
+
+	private final MeteringSettings settings;
+
+	private final LoadEndpoint self;
+
+	private final long incarnation;
+
+	private final LeadershipService leadership;
+
+	private final LocalCounts localCounts;
+
+	private final CollectedCounts collectedCounts;
+
+	private final FleetClock fleetClock;
+
+	private final SuspendAwareClock clock;
+
+	private final MeteringCodec codec = new MeteringCodec();
+
+	private final MeteringMembers members;
+
+	/** Newest notice of a leader, or {@code null} before the first one. */
+	private MeteringMessage.@Nullable Notice notice;
+
+	private volatile boolean closed;
+
+	private @Nullable DatagramSocket socket;
+
+	/**
+	 * Creates an exchange.
+	 * @param settings the settings
+	 * @param failureDomain the failure domain of this daemon
+	 * @param incarnation the start time of this daemon, in milliseconds since the epoch
+	 * @param leadership states who leads
+	 * @param localCounts the counts of this daemon
+	 * @param collectedCounts receives the counts of all daemons
+	 * @param fleetClock the time on which the daemons agree
+	 * @param clock the clock, which must include suspension
+	 */
+	public MeteringExchange(MeteringSettings settings, String failureDomain, long incarnation,
+			LeadershipService leadership, LocalCounts localCounts, CollectedCounts collectedCounts,
+			FleetClock fleetClock, SuspendAwareClock clock) {
+		this.settings = settings;
+		this.self = new LoadEndpoint(settings.address(), failureDomain);
+		this.incarnation = incarnation;
+		this.leadership = leadership;
+		this.localCounts = localCounts;
+		this.collectedCounts = collectedCounts;
+		this.fleetClock = fleetClock;
+		this.clock = clock;
+		this.members = new MeteringMembers(this.self);
+	}
+
+	@Override
+	public void start() {
+		try {
+			DatagramSocket newSocket = new DatagramSocket(this.settings.address());
+			this.socket = newSocket;
+			EssentialThread.start("metering-receiver", () -> receive(newSocket), newSocket::isClosed);
+			EssentialThread.start("metering-sender", this::sendAtIntervals, () -> this.closed);
+		}
+		catch (IOException ex) {
+			throw new RouterException(ErrorKind.SETTINGS_INVALID, "cannot listen on " + this.settings.address(), ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		for (int number = 0; number < LAST_SENDS; number++) {
+			exchange();
+		}
+		if (this.socket != null) {
+			this.socket.close();
+		}
+	}
+
+	private void sendAtIntervals() {
+		while (!this.closed) {
+			exchange();
+			try {
+				Thread.sleep(INTERVAL.toMillis());
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+		}
+	}
+
+	private synchronized void exchange() {
+		Map<Long, Map<String, Integer>> counts = this.localCounts.current();
+		counts
+			.forEach((window, byAccount) -> this.collectedCounts.merge(this.self, this.incarnation, window, byAccount));
+		sendCounts(counts, collectors());
+		if (this.leadership.token() != 0) {
+			sendNotice();
+		}
+	}
+
+	private Set<InetSocketAddress> collectors() {
+		Set<InetSocketAddress> collectors = new LinkedHashSet<>();
+		this.leadership.leader().map(MeteringExchange::addressOf).ifPresent(collectors::add);
+		MeteringMessage.Notice currentNotice = this.notice;
+		if (currentNotice != null) {
+			currentNotice.standbys().forEach((standby) -> collectors.add(standby.address()));
+		}
+		collectors.remove(this.self.address());
+		return collectors;
+	}
+
+	private static @Nullable InetSocketAddress addressOf(Leader leader) {
+		int colon = leader.address().lastIndexOf(':');
+		try {
+			return new InetSocketAddress(leader.address().substring(0, colon),
+					Integer.parseInt(leader.address().substring(colon + 1)));
+		}
+		catch (RuntimeException ex) {
+			logger.warn("The address {} of the leader is malformed", leader.address(), ex);
+			return null;
+		}
+	}
+
+	private void sendNotice() {
+		long nowNanos = this.clock.nanoTime();
+		this.fleetClock.adoptMedian();
+		MeteringMessage.Notice newNotice = new MeteringMessage.Notice(this.leadership.token(), this.fleetClock.millis(),
+				this.members.standbys(nowNanos));
+		this.notice = newNotice;
+		byte[] datagram = this.codec.encode(
+				new MeteringMessage(this.self, this.incarnation, this.fleetClock.wallMillis(), Map.of(), newNotice));
+		this.members.current(nowNanos).forEach((member) -> send(datagram, member.address()));
+	}
+
+	private void sendCounts(Map<Long, Map<String, Integer>> counts, Set<InetSocketAddress> receivers) {
+		if (receivers.isEmpty()) {
+			return;
+		}
+		byte[] datagram = this.codec
+			.encode(new MeteringMessage(this.self, this.incarnation, this.fleetClock.wallMillis(), counts, null));
+		if (datagram.length <= MAXIMUM_DATAGRAM_BYTES || isIndivisible(counts)) {
+			receivers.forEach((receiver) -> send(datagram, receiver));
+			return;
+		}
+		split(counts).forEach((part) -> sendCounts(part, receivers));
+	}
+
+	private static boolean isIndivisible(Map<Long, Map<String, Integer>> counts) {
+		return counts.size() == 1 && counts.values().iterator().next().size() <= 1;
+	}
+
+	// Halves the windows, or the accounts of a single window.
+	private static List<Map<Long, Map<String, Integer>>> split(Map<Long, Map<String, Integer>> counts) {
+		Map<Long, Map<String, Integer>> first = new HashMap<>();
+		Map<Long, Map<String, Integer>> second = new HashMap<>();
+		if (counts.size() > 1) {
+			counts.forEach((window, byAccount) -> ((first.size() < counts.size() / 2) ? first : second).put(window,
+					byAccount));
+			return List.of(first, second);
+		}
+		counts.forEach((window, byAccount) -> {
+			Map<String, Integer> firstAccounts = new HashMap<>();
+			Map<String, Integer> secondAccounts = new HashMap<>();
+			byAccount.forEach(
+					(account, count) -> ((firstAccounts.size() < byAccount.size() / 2) ? firstAccounts : secondAccounts)
+						.put(account, count));
+			first.put(window, firstAccounts);
+			second.put(window, secondAccounts);
+		});
+		return List.of(first, second);
+	}
+
+	private void send(byte[] datagram, InetSocketAddress receiver) {
+		DatagramSocket currentSocket = this.socket;
+		if (currentSocket == null || currentSocket.isClosed()) {
+			return;
+		}
+		try {
+			currentSocket.send(new DatagramPacket(datagram, datagram.length, receiver));
+		}
+		catch (IOException ex) {
+			logger.debug("Could not send a metering message to {}", receiver, ex);
+		}
+	}
+
+	private void receive(DatagramSocket receivingSocket) {
+		MeteringCodec receivingCodec = new MeteringCodec();
+		byte[] buffer = new byte[RECEIVE_BUFFER_BYTES];
+		while (!receivingSocket.isClosed()) {
+			DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+			try {
+				receivingSocket.receive(packet);
+			}
+			catch (IOException ex) {
+				if (!receivingSocket.isClosed()) {
+					logger.debug("Could not receive a metering message", ex);
+				}
+				continue;
+			}
+			MeteringMessage message = receivingCodec.decode(buffer, packet.getLength());
+			if (message != null) {
+				onMessage(message);
+			}
+		}
+	}
+
+	private synchronized void onMessage(MeteringMessage message) {
+		MeteringMessage.Notice newNotice = message.notice();
+		if (newNotice != null) {
+			onNotice(newNotice);
+			return;
+		}
+		this.fleetClock.record(message.sender(), message.timeMillis());
+		this.members.recordHeard(message.sender(), this.clock.nanoTime());
+		message.windows()
+			.forEach((window, counts) -> this.collectedCounts.merge(message.sender(), message.incarnation(), window,
+					counts));
+	}
+
+	// A leader that was replaced may still send.
+	private void onNotice(MeteringMessage.Notice newNotice) {
+		if (this.leadership.token() != 0 || (this.notice != null && newNotice.token() < this.notice.token())) {
+			return;
+		}
+		this.notice = newNotice;
+		this.fleetClock.adopt(newNotice.timeMillis());
+		this.leadership.setStandbyPosition(newNotice.standbys().indexOf(this.self));
+	}
+
+}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReportCodec.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadReportCodec.java
@@ -1,9 +1,6 @@
 package org.cyclamenstall.internal.peers.load;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -81,11 +78,11 @@
 	}
 
 	private static org.cyclamenstall.wire.LoadReport toWire(LoadReport report) {
-		org.cyclamenstall.wire.LoadReport message = new org.cyclamenstall.wire.LoadReport(toWire(report.sender()),
-				report.incarnation(), report.sequence());
+		org.cyclamenstall.wire.LoadReport message = new org.cyclamenstall.wire.LoadReport(
+				LoadEndpointCodec.toWire(report.sender()), report.incarnation(), report.sequence());
 		message.setLoads(report.loads().stream().map(LoadReportCodec::toWire).toList());
 		if (!report.members().isEmpty()) {
-			message.setMembers(report.members().stream().map(LoadReportCodec::toWire).toList());
+			message.setMembers(report.members().stream().map(LoadEndpointCodec::toWire).toList());
 		}
 		message.setRelay(report.relay());
 		message.setLeaving(report.leaving());
@@ -103,27 +100,14 @@
 		List<LoadEndpoint> members = new ArrayList<>();
 		if (message.isSetMembers()) {
 			for (org.cyclamenstall.wire.LoadEndpoint member : message.getMembers()) {
-				members.add(fromWire(member));
+				members.add(LoadEndpointCodec.fromWire(member));
 			}
 		}
-		return new LoadReport(fromWire(message.getSender()), message.getIncarnation(), message.getSequence(), loads,
-				members, message.isRelay(), message.isLeaving(), message.isSetQuarantine()
+		return new LoadReport(LoadEndpointCodec.fromWire(message.getSender()), message.getIncarnation(),
+				message.getSequence(), loads, members, message.isRelay(), message.isLeaving(), message.isSetQuarantine()
 						? QuarantineReportCodec.fromWire(message.getQuarantine()) : QuarantineReport.EMPTY);
 	}
 
-	private static org.cyclamenstall.wire.LoadEndpoint toWire(LoadEndpoint endpoint) {
-		org.cyclamenstall.wire.LoadEndpoint message = new org.cyclamenstall.wire.LoadEndpoint(
-				ByteBuffer.wrap(endpoint.address().getAddress().getAddress()), endpoint.address().getPort());
-		message.setFailureDomain(endpoint.failureDomain());
-		return message;
-	}
-
-	private static LoadEndpoint fromWire(org.cyclamenstall.wire.LoadEndpoint message) throws UnknownHostException {
-		InetAddress address = InetAddress.getByAddress(message.getAddress());
-		return new LoadEndpoint(new InetSocketAddress(address, message.getPort()),
-				message.isSetFailureDomain() ? message.getFailureDomain() : "");
-	}
-
 	private static org.cyclamenstall.wire.UpstreamLoad toWire(UpstreamLoad load) {
 		Map<Byte, Integer> pendingTokens = new HashMap<>();
 		for (int priority = 0; priority < load.pendingTokens().length; priority++) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTicket.java
@@ -42,6 +42,8 @@
 
 	private int unexecutedAttempts;
 
+	private boolean begun;
+
 	private boolean finished;
 
 	PlacementTicket(PlacementTrafficController controller, RequestAttributes attributes, GrantListener listener,
@@ -195,6 +197,16 @@
 		}
 	}
 
+	/**
+	 * Records that an upstream began to execute the request.
+	 * @return {@code true} for the first call
+	 */
+	boolean markBegun() {
+		boolean firstCall = !this.begun;
+		this.begun = true;
+		return firstCall;
+	}
+
 	boolean markFinished() {
 		boolean firstCall = !this.finished;
 		this.finished = true;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -32,6 +32,7 @@
 import org.cyclamenstall.policy.RequestAttributes;
 import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
+import org.cyclamenstall.policy.StartedRequests;
 import org.cyclamenstall.policy.Ticket;
 import org.cyclamenstall.policy.TrafficController;
 import org.jspecify.annotations.Nullable;
@@ -75,6 +76,8 @@
 
 	private final PromptQuarantine quarantine;
 
+	private final StartedRequests startedRequests;
+
 	private final EventLog events;
 
 	private final PlacementMetrics metrics;
@@ -100,19 +103,21 @@
 	 * @param failureDomain the failure domain of this daemon
 	 * @param fleetLoad the load of the other daemons
 	 * @param quarantine the prompt parts that crash upstreams
+	 * @param startedRequests receives the requests that upstreams began
 	 * @param clock the monotonic clock
 	 * @param random the source of randomness
 	 * @param events the event log
 	 * @param registry the registry of the metrics
 	 */
 	public PlacementTrafficController(PlacementSettings settings, HostList hosts, String failureDomain,
-			FleetLoad fleetLoad, PromptQuarantine quarantine, MonotonicClock clock, UniformRandomProvider random,
-			EventLog events, PrometheusRegistry registry) {
+			FleetLoad fleetLoad, PromptQuarantine quarantine, StartedRequests startedRequests, MonotonicClock clock,
+			UniformRandomProvider random, EventLog events, PrometheusRegistry registry) {
 		this.settings = settings;
 		this.hosts = hosts;
 		this.failureDomain = failureDomain;
 		this.fleetLoad = fleetLoad;
 		this.quarantine = quarantine;
+		this.startedRequests = startedRequests;
 		this.clock = clock;
 		this.random = random;
 		this.overloadPolicy = new OverloadPolicy(random);
@@ -399,7 +404,9 @@
 
 	void recordEvent(PlacementGrant grant) {
 		synchronized (this) {
-			grant.recordEvent(this.clock.nanoTime(), poolOf(grant.ticket()).engineSpeed());
+			long nowNanos = this.clock.nanoTime();
+			grant.recordEvent(nowNanos, poolOf(grant.ticket()).engineSpeed());
+			recordBegun(grant.ticket(), nowNanos, nowNanos);
 		}
 	}
 
@@ -415,6 +422,9 @@
 			grant.ticket()
 				.recordAttemptEnd(result == AttemptResult.UNREACHABLE || result == AttemptResult.REFUSED
 						|| result == AttemptResult.NOT_SENT);
+			if (result == AttemptResult.COMPLETED || result == AttemptResult.FAILED) {
+				recordBegun(grant.ticket(), grant.startedAtNanos(), nowNanos);
+			}
 			PlacementPool pool = poolOf(grant.ticket());
 			pool.recordEnd(grant, result, nowNanos);
 			if (result == AttemptResult.CONNECTION_LOST && !grant.hasReceivedFirstEvent()) {
@@ -424,6 +434,12 @@
 		}
 	}
 
+	private void recordBegun(PlacementTicket ticket, long begunAtNanos, long nowNanos) {
+		if (ticket.markBegun()) {
+			this.startedRequests.record(ticket.attributes(), nowNanos - begunAtNanos);
+		}
+	}
+
 	void finish(PlacementTicket ticket) {
 		runLocked(() -> {
 			this.unfinishedCount -= ticket.markFinished() ? 1 : 0;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RequestAttributes.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RequestAttributes.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.cyclamenstall.catalogue.CatalogueEntry;
+import org.cyclamenstall.catalogue.EntryKind;
 import org.cyclamenstall.catalogue.Tier;
 import org.jspecify.annotations.Nullable;
 
@@ -22,6 +23,10 @@
 public record RequestAttributes(String requestId, CatalogueEntry entry, CatalogueEntry account, Tier tier,
 		long arrivalNanos, boolean idempotent, boolean streamed, @Nullable String prefixKey, RequestOptions options) {
 
+	/** Stands for the account of a request that needs none. */
+	public static final CatalogueEntry ANONYMOUS_ACCOUNT = new CatalogueEntry("anonymous", EntryKind.ACCOUNT,
+			"anonymous", Tier.INTERACTIVE, null, null, null, null, null, null, null, null, null, null, null, null);
+
 	/**
 	 * Creates attributes with the default options of the catalogue entry.
 	 * @param requestId the request identifier
@@ -44,6 +49,14 @@
 				RequestOptions.of(entry, tier, new PromptShape(promptTokens, maximumOutputTokens, 0, List.of())));
 	}
 
+	/**
+	 * Returns whether the request belongs to a client account.
+	 * @return {@code false} if its account is {@link #ANONYMOUS_ACCOUNT}
+	 */
+	public boolean hasAccount() {
+		return this.account != ANONYMOUS_ACCOUNT;
+	}
+
 	/**
 	 * Returns the length of the prompt.
 	 * @return the length in tokens; zero for a service other than a model
