Order upstreams by the engine time that their requests take

The leader takes the rate of the engine time that all daemons report, cumulative in the datagrams of the counts, and keeps so many preemptible upstreams that any one failure domain may be taken and the others are enough; on-demand ones fill what the listed ones don't guarantee (docs/design/upstream-scaling.md). Switched on by cloud_api.duties and the scaling of a service.

Evidence: UpstreamScalerTests and UpstreamNeedTests replay the conversion, a rise, domains that are taken with and without others to be had, lost orders, changes of leader; UpstreamOrderTests with three processes.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/PlacementFixture.java
@@ -56,6 +56,9 @@
 	/** Names of the accounts of the requests that upstreams began. */
 	final List<String> startedAccounts = new ArrayList<>();
 
+	/** Engine time of the requests that were sent, in nanoseconds. */
+	long engineNanos;
+
 	final PlacementTrafficController controller;
 
 	/** Called for each event after it was recorded. */
@@ -78,8 +81,9 @@
 				this.events::add);
 		this.controller = new PlacementTrafficController(new PlacementSettings(10_000, 0.16, FLEET_RETRIES),
 				new FixtureHostList(), failureDomain, this.fleetLoad, this.quarantine,
-				(attributes, ageNanos) -> this.startedAccounts.add(attributes.account().name()), clock,
-				RandomSource.XO_RO_SHI_RO_128_PP.create(seed), (event) -> {
+				(attributes, ageNanos) -> this.startedAccounts.add(attributes.account().name()),
+				(service, nanos) -> this.engineNanos += nanos, clock, RandomSource.XO_RO_SHI_RO_128_PP.create(seed),
+				(event) -> {
 					this.events.add(event);
 					this.eventListener.accept(event);
 				}, new PrometheusRegistry());
--- a/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/MeteringDatagram.java
+++ b/org.cyclamenstall.wire/src/main/java/org/cyclamenstall/wire/MeteringDatagram.java
@@ -31,6 +31,9 @@
 	private static final org.apache.thrift.protocol.TField NOTICE_FIELD_DESC = new org.apache.thrift.protocol.TField(
 			"notice", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
 
+	private static final org.apache.thrift.protocol.TField ENGINE_MILLIS_BY_SERVICE_FIELD_DESC = new org.apache.thrift.protocol.TField(
+			"engineMillisByService", org.apache.thrift.protocol.TType.MAP, (short) 6);
+
 	private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new MeteringDatagramStandardSchemeFactory();
 
 	private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new MeteringDatagramTupleSchemeFactory();
@@ -45,6 +48,8 @@
 
 	private @org.apache.thrift.annotation.Nullable CollectorNotice notice; // optional
 
+	private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String, java.lang.Long> engineMillisByService; // optional
+
 	/**
 	 * The set of fields this struct contains, along with convenience methods for finding
 	 * and manipulating them.
@@ -52,7 +57,8 @@
 	public enum _Fields implements org.apache.thrift.TFieldIdEnum {
 
 		SENDER((short) 1, "sender"), INCARNATION((short) 2, "incarnation"), TIME_MILLIS((short) 3, "timeMillis"),
-		WINDOWS((short) 4, "windows"), NOTICE((short) 5, "notice");
+		WINDOWS((short) 4, "windows"), NOTICE((short) 5, "notice"),
+		ENGINE_MILLIS_BY_SERVICE((short) 6, "engineMillisByService");
 
 		private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -78,6 +84,8 @@
 					return WINDOWS;
 				case 5: // NOTICE
 					return NOTICE;
+				case 6: // ENGINE_MILLIS_BY_SERVICE
+					return ENGINE_MILLIS_BY_SERVICE;
 				default:
 					return null;
 			}
@@ -130,7 +138,7 @@
 
 	private byte __isset_bitfield = 0;
 
-	private static final _Fields optionals[] = { _Fields.WINDOWS, _Fields.NOTICE };
+	private static final _Fields optionals[] = { _Fields.WINDOWS, _Fields.NOTICE, _Fields.ENGINE_MILLIS_BY_SERVICE };
 
 	public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 	static {
@@ -160,6 +168,11 @@
 						org.apache.thrift.TFieldRequirementType.OPTIONAL,
 						new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT,
 								CollectorNotice.class)));
+		tmpMap.put(_Fields.ENGINE_MILLIS_BY_SERVICE, new org.apache.thrift.meta_data.FieldMetaData(
+				"engineMillisByService", org.apache.thrift.TFieldRequirementType.OPTIONAL,
+				new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP,
+						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING),
+						new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
 		metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
 		org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(MeteringDatagram.class, metaDataMap);
 	}
@@ -196,6 +209,11 @@
 		if (other.isSetNotice()) {
 			this.notice = new CollectorNotice(other.notice);
 		}
+		if (other.isSetEngineMillisByService()) {
+			java.util.Map<java.lang.String, java.lang.Long> __this__engineMillisByService = new java.util.HashMap<java.lang.String, java.lang.Long>(
+					other.engineMillisByService);
+			this.engineMillisByService = __this__engineMillisByService;
+		}
 	}
 
 	@Override
@@ -212,6 +230,7 @@
 		this.timeMillis = 0;
 		this.windows = null;
 		this.notice = null;
+		this.engineMillisByService = null;
 	}
 
 	@org.apache.thrift.annotation.Nullable
@@ -364,6 +383,46 @@
 		}
 	}
 
+	public int getEngineMillisByServiceSize() {
+		return (this.engineMillisByService == null) ? 0 : this.engineMillisByService.size();
+	}
+
+	public void putToEngineMillisByService(java.lang.String key, long val) {
+		if (this.engineMillisByService == null) {
+			this.engineMillisByService = new java.util.HashMap<java.lang.String, java.lang.Long>();
+		}
+		this.engineMillisByService.put(key, val);
+	}
+
+	@org.apache.thrift.annotation.Nullable
+	public java.util.Map<java.lang.String, java.lang.Long> getEngineMillisByService() {
+		return this.engineMillisByService;
+	}
+
+	public MeteringDatagram setEngineMillisByService(
+			@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String, java.lang.Long> engineMillisByService) {
+		this.engineMillisByService = engineMillisByService;
+		return this;
+	}
+
+	public void unsetEngineMillisByService() {
+		this.engineMillisByService = null;
+	}
+
+	/**
+	 * Returns true if field engineMillisByService is set (has been assigned a value) and
+	 * false otherwise
+	 */
+	public boolean isSetEngineMillisByService() {
+		return this.engineMillisByService != null;
+	}
+
+	public void setEngineMillisByServiceIsSet(boolean value) {
+		if (!value) {
+			this.engineMillisByService = null;
+		}
+	}
+
 	@Override
 	public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
 		switch (field) {
@@ -412,6 +471,15 @@
 				}
 				break;
 
+			case ENGINE_MILLIS_BY_SERVICE:
+				if (value == null) {
+					unsetEngineMillisByService();
+				}
+				else {
+					setEngineMillisByService((java.util.Map<java.lang.String, java.lang.Long>) value);
+				}
+				break;
+
 		}
 	}
 
@@ -434,6 +502,9 @@
 			case NOTICE:
 				return getNotice();
 
+			case ENGINE_MILLIS_BY_SERVICE:
+				return getEngineMillisByService();
+
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -459,6 +530,8 @@
 				return isSetWindows();
 			case NOTICE:
 				return isSetNotice();
+			case ENGINE_MILLIS_BY_SERVICE:
+				return isSetEngineMillisByService();
 		}
 		throw new java.lang.IllegalStateException();
 	}
@@ -521,6 +594,15 @@
 				return false;
 		}
 
+		boolean this_present_engineMillisByService = true && this.isSetEngineMillisByService();
+		boolean that_present_engineMillisByService = true && that.isSetEngineMillisByService();
+		if (this_present_engineMillisByService || that_present_engineMillisByService) {
+			if (!(this_present_engineMillisByService && that_present_engineMillisByService))
+				return false;
+			if (!this.engineMillisByService.equals(that.engineMillisByService))
+				return false;
+		}
+
 		return true;
 	}
 
@@ -544,6 +626,10 @@
 		if (isSetNotice())
 			hashCode = hashCode * 8191 + notice.hashCode();
 
+		hashCode = hashCode * 8191 + ((isSetEngineMillisByService()) ? 131071 : 524287);
+		if (isSetEngineMillisByService())
+			hashCode = hashCode * 8191 + engineMillisByService.hashCode();
+
 		return hashCode;
 	}
 
@@ -605,6 +691,17 @@
 				return lastComparison;
 			}
 		}
+		lastComparison = java.lang.Boolean.compare(isSetEngineMillisByService(), other.isSetEngineMillisByService());
+		if (lastComparison != 0) {
+			return lastComparison;
+		}
+		if (isSetEngineMillisByService()) {
+			lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.engineMillisByService,
+					other.engineMillisByService);
+			if (lastComparison != 0) {
+				return lastComparison;
+			}
+		}
 		return 0;
 	}
 
@@ -671,6 +768,18 @@
 			}
 			first = false;
 		}
+		if (isSetEngineMillisByService()) {
+			if (!first)
+				sb.append(", ");
+			sb.append("engineMillisByService:");
+			if (this.engineMillisByService == null) {
+				sb.append("null");
+			}
+			else {
+				sb.append(this.engineMillisByService);
+			}
+			first = false;
+		}
 		sb.append(")");
 		return sb.toString();
 	}
@@ -798,6 +907,28 @@
 							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 						}
 						break;
+					case 6: // ENGINE_MILLIS_BY_SERVICE
+						if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+							{
+								org.apache.thrift.protocol.TMap _map131 = iprot.readMapBegin();
+								struct.engineMillisByService = new java.util.HashMap<java.lang.String, java.lang.Long>(
+										2 * _map131.size);
+								@org.apache.thrift.annotation.Nullable
+								java.lang.String _key132;
+								long _val133;
+								for (int _i134 = 0; _i134 < _map131.size; ++_i134) {
+									_key132 = iprot.readString();
+									_val133 = iprot.readI64();
+									struct.engineMillisByService.put(_key132, _val133);
+								}
+								iprot.readMapEnd();
+							}
+							struct.setEngineMillisByServiceIsSet(true);
+						}
+						else {
+							org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+						}
+						break;
 					default:
 						org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
 				}
@@ -841,8 +972,8 @@
 					{
 						oprot.writeListBegin(new org.apache.thrift.protocol.TList(
 								org.apache.thrift.protocol.TType.STRUCT, struct.windows.size()));
-						for (WindowCounts _iter131 : struct.windows) {
-							_iter131.write(oprot);
+						for (WindowCounts _iter135 : struct.windows) {
+							_iter135.write(oprot);
 						}
 						oprot.writeListEnd();
 					}
@@ -856,6 +987,22 @@
 					oprot.writeFieldEnd();
 				}
 			}
+			if (struct.engineMillisByService != null) {
+				if (struct.isSetEngineMillisByService()) {
+					oprot.writeFieldBegin(ENGINE_MILLIS_BY_SERVICE_FIELD_DESC);
+					{
+						oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING,
+								org.apache.thrift.protocol.TType.I64, struct.engineMillisByService.size()));
+						for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter136 : struct.engineMillisByService
+							.entrySet()) {
+							oprot.writeString(_iter136.getKey());
+							oprot.writeI64(_iter136.getValue());
+						}
+						oprot.writeMapEnd();
+					}
+					oprot.writeFieldEnd();
+				}
+			}
 			oprot.writeFieldStop();
 			oprot.writeStructEnd();
 		}
@@ -887,18 +1034,31 @@
 			if (struct.isSetNotice()) {
 				optionals.set(1);
 			}
-			oprot.writeBitSet(optionals, 2);
+			if (struct.isSetEngineMillisByService()) {
+				optionals.set(2);
+			}
+			oprot.writeBitSet(optionals, 3);
 			if (struct.isSetWindows()) {
 				{
 					oprot.writeI32(struct.windows.size());
-					for (WindowCounts _iter132 : struct.windows) {
-						_iter132.write(oprot);
+					for (WindowCounts _iter137 : struct.windows) {
+						_iter137.write(oprot);
 					}
 				}
 			}
 			if (struct.isSetNotice()) {
 				struct.notice.write(oprot);
 			}
+			if (struct.isSetEngineMillisByService()) {
+				{
+					oprot.writeI32(struct.engineMillisByService.size());
+					for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter138 : struct.engineMillisByService
+						.entrySet()) {
+						oprot.writeString(_iter138.getKey());
+						oprot.writeI64(_iter138.getValue());
+					}
+				}
+			}
 		}
 
 		@Override
@@ -912,18 +1072,18 @@
 			struct.setIncarnationIsSet(true);
 			struct.timeMillis = iprot.readI64();
 			struct.setTimeMillisIsSet(true);
-			java.util.BitSet incoming = iprot.readBitSet(2);
+			java.util.BitSet incoming = iprot.readBitSet(3);
 			if (incoming.get(0)) {
 				{
-					org.apache.thrift.protocol.TList _list133 = iprot
+					org.apache.thrift.protocol.TList _list139 = iprot
 						.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-					struct.windows = new java.util.ArrayList<WindowCounts>(_list133.size);
+					struct.windows = new java.util.ArrayList<WindowCounts>(_list139.size);
 					@org.apache.thrift.annotation.Nullable
-					WindowCounts _elem134;
-					for (int _i135 = 0; _i135 < _list133.size; ++_i135) {
-						_elem134 = new WindowCounts();
-						_elem134.read(iprot);
-						struct.windows.add(_elem134);
+					WindowCounts _elem140;
+					for (int _i141 = 0; _i141 < _list139.size; ++_i141) {
+						_elem140 = new WindowCounts();
+						_elem140.read(iprot);
+						struct.windows.add(_elem140);
 					}
 				}
 				struct.setWindowsIsSet(true);
@@ -933,6 +1093,23 @@
 				struct.notice.read(iprot);
 				struct.setNoticeIsSet(true);
 			}
+			if (incoming.get(2)) {
+				{
+					org.apache.thrift.protocol.TMap _map142 = iprot
+						.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64);
+					struct.engineMillisByService = new java.util.HashMap<java.lang.String, java.lang.Long>(
+							2 * _map142.size);
+					@org.apache.thrift.annotation.Nullable
+					java.lang.String _key143;
+					long _val144;
+					for (int _i145 = 0; _i145 < _map142.size; ++_i145) {
+						_key143 = iprot.readString();
+						_val144 = iprot.readI64();
+						struct.engineMillisByService.put(_key143, _val144);
+					}
+				}
+				struct.setEngineMillisByServiceIsSet(true);
+			}
 		}
 
 	}
--- a/org.cyclamenstall.wire/src/main/thrift/peer.thrift
+++ b/org.cyclamenstall.wire/src/main/thrift/peer.thrift
@@ -187,6 +187,8 @@
   3: required i64 timeMillis
   4: optional list<WindowCounts> windows
   5: optional CollectorNotice notice
+  // Engine time of the requests of the sender since its start, in milliseconds, by service.
+  6: optional map<string, i64> engineMillisByService
 }
 
 service PeerService {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Coordination.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Coordination.java
@@ -1,24 +1,32 @@
 package org.cyclamenstall.internal.daemon;
 
+import java.time.Duration;
+
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.cyclamenstall.control.ControlApi;
 import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.hosts.HostList;
 import org.cyclamenstall.internal.kernel.BootClock;
+import org.cyclamenstall.internal.kernel.PeriodicTask;
 import org.cyclamenstall.internal.leadership.LeadershipService;
 import org.cyclamenstall.internal.leadership.LeadershipSettings;
 import org.cyclamenstall.internal.metering.CollectedCounts;
+import org.cyclamenstall.internal.metering.CollectedEngineTime;
 import org.cyclamenstall.internal.metering.FleetClock;
 import org.cyclamenstall.internal.metering.LocalCounts;
+import org.cyclamenstall.internal.metering.LocalEngineTime;
 import org.cyclamenstall.internal.metering.MeteringExchange;
-import org.cyclamenstall.internal.metering.UsageReporting;
 import org.cyclamenstall.internal.metering.WindowReporter;
+import org.cyclamenstall.internal.scaling.UpstreamOrders;
 import org.cyclamenstall.internal.watch.StoreListener;
 import org.cyclamenstall.kernel.ServiceRegistry;
 import org.cyclamenstall.kernel.SuspendAwareClock;
 import org.cyclamenstall.lib.ServiceNames;
+import org.cyclamenstall.policy.EngineTimeRecorder;
 import org.cyclamenstall.policy.StartedRequests;
+import org.cyclamenstall.routes.RouteTableView;
 
 /**
  * Creates the services for the work that one daemon does for all: the election of the
@@ -26,6 +34,9 @@
  */
 final class Coordination {
 
+	/** Interval at which the leader checks what is due. */
+	private static final Duration INTERVAL = Duration.ofMillis(500);
+
 	private final CoordinationSettings settings;
 
 	private final RoutedDeployment deployment;
@@ -40,6 +51,10 @@
 
 	private final CollectedCounts collectedCounts = new CollectedCounts();
 
+	private final LocalEngineTime localEngineTime = new LocalEngineTime();
+
+	private final CollectedEngineTime collectedEngineTime = new CollectedEngineTime();
+
 	private final SuspendAwareClock clock = new BootClock();
 
 	Coordination(CoordinationSettings settings, RoutedDeployment deployment, String host, long incarnation,
@@ -59,20 +74,34 @@
 		return this.localCounts;
 	}
 
+	EngineTimeRecorder engineTime() {
+		return this.localEngineTime;
+	}
+
 	StoreListener storeListener() {
 		return this.leadership;
 	}
 
-	void register(ServiceRegistry services, String failureDomain, long incarnation, PrometheusRegistry metrics) {
+	void register(ServiceRegistry services, String failureDomain, long incarnation, RouteTableView routes,
+			HostList hosts, PrometheusRegistry metrics) {
 		services.register(ServiceNames.LEADERSHIP, this.leadership);
-		services.register(ServiceNames.METERING, new MeteringExchange(this.settings.metering(), failureDomain,
-				incarnation, this.leadership, this.localCounts, this.collectedCounts, this.fleetClock, this.clock));
+		services.register(ServiceNames.METERING,
+				new MeteringExchange(this.settings.metering(), failureDomain, incarnation, this.leadership,
+						this.localCounts, this.collectedCounts, this.localEngineTime, this.collectedEngineTime,
+						this.fleetClock, this.clock));
 		ControlApi controlApi = this.deployment.controlApi();
 		if (controlApi != null && this.settings.reportsUsage()) {
+			WindowReporter reporter = new WindowReporter(this.settings.metering().schedule(), this.collectedCounts,
+					this.fleetClock, this.deployment.store(), this.deployment.leasedStore(), controlApi,
+					this.leadership, this.events);
 			services.register(ServiceNames.USAGE_REPORTS,
-					new UsageReporting(new WindowReporter(this.settings.metering().schedule(), this.collectedCounts,
-							this.fleetClock, this.deployment.store(), this.deployment.leasedStore(), controlApi,
-							this.leadership, this.events)));
+					new PeriodicTask(ServiceNames.USAGE_REPORTS, INTERVAL, reporter::run));
+		}
+		if (controlApi != null && this.settings.ordersUpstreams()) {
+			UpstreamOrders orders = new UpstreamOrders(routes, hosts, this.collectedEngineTime, controlApi,
+					this.leadership, this.clock, this.events);
+			services.register(ServiceNames.UPSTREAM_ORDERS,
+					new PeriodicTask(ServiceNames.UPSTREAM_ORDERS, INTERVAL, orders::run));
 		}
 		GaugeWithCallback.builder()
 			.name("cyclamenstall_leadership_token")
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -34,6 +34,7 @@
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.ServiceRegistry;
 import org.cyclamenstall.lib.ServiceNames;
+import org.cyclamenstall.policy.EngineTimeRecorder;
 import org.cyclamenstall.policy.StartedRequests;
 import org.cyclamenstall.routes.RouteTable;
 import org.jspecify.annotations.Nullable;
@@ -104,16 +105,19 @@
 		FleetLoad fleetLoad = new FleetLoad();
 		PromptQuarantine quarantine = new PromptQuarantine(fleetLoad::daemonCount, random(), events);
 		registerGauge("cyclamenstall_quarantined_prompt_parts", "Prompt parts that crash upstreams.", quarantine::size);
+		StartedRequests startedRequests = (this.coordination != null) ? this.coordination.startedRequests()
+				: StartedRequests.NONE;
+		EngineTimeRecorder engineTime = (this.coordination != null) ? this.coordination.engineTime()
+				: EngineTimeRecorder.NONE;
 		this.services.register(ServiceNames.TRAFFIC,
 				new PlacementTrafficController(settings.placement(), this.hosts, settings.failureDomain(), fleetLoad,
-						quarantine,
-						(this.coordination != null) ? this.coordination.startedRequests() : StartedRequests.NONE,
-						this.clock, random(), events, this.metrics));
+						quarantine, startedRequests, engineTime, this.clock, random(), events, this.metrics));
 		if (settings.loadExchange() != null) {
 			registerLoadExchange(settings.loadExchange(), fleetLoad, quarantine);
 		}
 		if (this.coordination != null) {
-			this.coordination.register(this.services, settings.failureDomain(), this.incarnation, this.metrics);
+			this.coordination.register(this.services, settings.failureDomain(), this.incarnation, this.routes,
+					this.hosts, this.metrics);
 		}
 		RoutedCallerProtocol protocol = new RoutedCallerProtocol(this.routes, this.keyAuthorization,
 				deployment.requestHeaderCodec(), deployment.upstreamProtocol(), deployment.responseWriter(),
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringCodec.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringCodec.java
@@ -49,6 +49,9 @@
 			message.windows().forEach((window, counts) -> windows.add(new WindowCounts(window, counts)));
 			datagram.setWindows(windows);
 		}
+		if (!message.engineMillis().isEmpty()) {
+			datagram.setEngineMillisByService(message.engineMillis());
+		}
 		MeteringMessage.Notice notice = message.notice();
 		if (notice != null) {
 			CollectorNotice wireNotice = new CollectorNotice(notice.token(), notice.timeMillis());
@@ -74,7 +77,9 @@
 			MeteringDatagram datagram = new MeteringDatagram();
 			this.deserializer.deserialize(datagram, bytes, 0, length);
 			return new MeteringMessage(LoadEndpointCodec.fromWire(datagram.getSender()), datagram.getIncarnation(),
-					datagram.getTimeMillis(), windows(datagram), notice(datagram));
+					datagram.getTimeMillis(), windows(datagram),
+					datagram.isSetEngineMillisByService() ? Map.copyOf(datagram.getEngineMillisByService()) : Map.of(),
+					notice(datagram));
 		}
 		catch (TException | UnknownHostException | RuntimeException ex) {
 			logger.debug("Ignored a datagram that is no metering message", ex);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringExchange.java
@@ -16,6 +16,7 @@
 import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.errors.RouterException;
 import org.cyclamenstall.internal.kernel.EssentialThread;
+import org.cyclamenstall.internal.kernel.PeriodicTask;
 import org.cyclamenstall.internal.leadership.LeadershipService;
 import org.cyclamenstall.internal.peers.load.LoadEndpoint;
 import org.cyclamenstall.kernel.Service;
@@ -56,6 +57,10 @@
 
 	private final CollectedCounts collectedCounts;
 
+	private final LocalEngineTime localEngineTime;
+
+	private final CollectedEngineTime collectedEngineTime;
+
 	private final FleetClock fleetClock;
 
 	private final SuspendAwareClock clock;
@@ -67,7 +72,7 @@
 	/** Newest notice of a leader, or {@code null} before the first one. */
 	private MeteringMessage.@Nullable Notice notice;
 
-	private volatile boolean closed;
+	private final PeriodicTask sender = new PeriodicTask("metering-sender", INTERVAL, this::exchange);
 
 	private @Nullable DatagramSocket socket;
 
@@ -79,18 +84,23 @@
 	 * @param leadership states who leads
 	 * @param localCounts the counts of this daemon
 	 * @param collectedCounts receives the counts of all daemons
+	 * @param localEngineTime the engine time of the requests of this daemon
+	 * @param collectedEngineTime receives the engine time of all daemons
 	 * @param fleetClock the time on which the daemons agree
 	 * @param clock the clock, which must include suspension
 	 */
 	public MeteringExchange(MeteringSettings settings, String failureDomain, long incarnation,
 			LeadershipService leadership, LocalCounts localCounts, CollectedCounts collectedCounts,
-			FleetClock fleetClock, SuspendAwareClock clock) {
+			LocalEngineTime localEngineTime, CollectedEngineTime collectedEngineTime, FleetClock fleetClock,
+			SuspendAwareClock clock) {
 		this.settings = settings;
 		this.self = new LoadEndpoint(settings.address(), failureDomain);
 		this.incarnation = incarnation;
 		this.leadership = leadership;
 		this.localCounts = localCounts;
 		this.collectedCounts = collectedCounts;
+		this.localEngineTime = localEngineTime;
+		this.collectedEngineTime = collectedEngineTime;
 		this.fleetClock = fleetClock;
 		this.clock = clock;
 		this.members = new MeteringMembers(this.self);
@@ -102,7 +112,7 @@
 			DatagramSocket newSocket = new DatagramSocket(this.settings.address());
 			this.socket = newSocket;
 			EssentialThread.start("metering-receiver", () -> receive(newSocket), newSocket::isClosed);
-			EssentialThread.start("metering-sender", this::sendAtIntervals, () -> this.closed);
+			this.sender.start();
 		}
 		catch (IOException ex) {
 			throw new RouterException(ErrorKind.SETTINGS_INVALID, "cannot listen on " + this.settings.address(), ex);
@@ -111,7 +121,7 @@
 
 	@Override
 	public void close() {
-		this.closed = true;
+		this.sender.close();
 		for (int number = 0; number < LAST_SENDS; number++) {
 			exchange();
 		}
@@ -120,24 +130,13 @@
 		}
 	}
 
-	private void sendAtIntervals() {
-		while (!this.closed) {
-			exchange();
-			try {
-				Thread.sleep(INTERVAL.toMillis());
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-				return;
-			}
-		}
-	}
-
 	private synchronized void exchange() {
 		Map<Long, Map<String, Integer>> counts = this.localCounts.current();
 		counts
 			.forEach((window, byAccount) -> this.collectedCounts.merge(this.self, this.incarnation, window, byAccount));
-		sendCounts(counts, collectors());
+		Map<String, Long> engineMillis = this.localEngineTime.millisByService();
+		this.collectedEngineTime.record(this.self, this.incarnation, engineMillis);
+		sendCounts(counts, engineMillis, collectors());
 		if (this.leadership.token() != 0) {
 			sendNotice();
 		}
@@ -172,22 +171,23 @@
 		MeteringMessage.Notice newNotice = new MeteringMessage.Notice(this.leadership.token(), this.fleetClock.millis(),
 				this.members.standbys(nowNanos));
 		this.notice = newNotice;
-		byte[] datagram = this.codec.encode(
-				new MeteringMessage(this.self, this.incarnation, this.fleetClock.wallMillis(), Map.of(), newNotice));
+		byte[] datagram = this.codec.encode(new MeteringMessage(this.self, this.incarnation,
+				this.fleetClock.wallMillis(), Map.of(), Map.of(), newNotice));
 		this.members.current(nowNanos).forEach((member) -> send(datagram, member.address()));
 	}
 
-	private void sendCounts(Map<Long, Map<String, Integer>> counts, Set<InetSocketAddress> receivers) {
+	private void sendCounts(Map<Long, Map<String, Integer>> counts, Map<String, Long> engineMillis,
+			Set<InetSocketAddress> receivers) {
 		if (receivers.isEmpty()) {
 			return;
 		}
-		byte[] datagram = this.codec
-			.encode(new MeteringMessage(this.self, this.incarnation, this.fleetClock.wallMillis(), counts, null));
+		byte[] datagram = this.codec.encode(new MeteringMessage(this.self, this.incarnation,
+				this.fleetClock.wallMillis(), counts, engineMillis, null));
 		if (datagram.length <= MAXIMUM_DATAGRAM_BYTES || isIndivisible(counts)) {
 			receivers.forEach((receiver) -> send(datagram, receiver));
 			return;
 		}
-		split(counts).forEach((part) -> sendCounts(part, receivers));
+		split(counts).forEach((part) -> sendCounts(part, engineMillis, receivers));
 	}
 
 	private static boolean isIndivisible(Map<Long, Map<String, Integer>> counts) {
@@ -257,6 +257,7 @@
 		}
 		this.fleetClock.record(message.sender(), message.timeMillis());
 		this.members.recordHeard(message.sender(), this.clock.nanoTime());
+		this.collectedEngineTime.record(message.sender(), message.incarnation(), message.engineMillis());
 		message.windows()
 			.forEach((window, counts) -> this.collectedCounts.merge(message.sender(), message.incarnation(), window,
 					counts));
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringMessage.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringMessage.java
@@ -13,10 +13,12 @@
  * @param incarnation its start time, in milliseconds since the epoch
  * @param timeMillis its time of day, in milliseconds since the epoch
  * @param windows its counts by window and client account; empty from the leader
+ * @param engineMillis the engine time of its requests since its start, in milliseconds,
+ * by service
  * @param notice what the leader tells, or {@code null} from another daemon
  */
 record MeteringMessage(LoadEndpoint sender, long incarnation, long timeMillis, Map<Long, Map<String, Integer>> windows,
-		@Nullable Notice notice) {
+		Map<String, Long> engineMillis, @Nullable Notice notice) {
 
 	/**
 	 * What the leader tells the other daemons. Immutable.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EngineSpeed.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/EngineSpeed.java
@@ -58,9 +58,20 @@
 	 * @return the time in nanoseconds of an engine that serves nothing else
 	 */
 	double engineNanos(PromptShape prompt, int slots) {
-		double outputTokens = (prompt.estimatedOutputTokens() > 0) ? prompt.estimatedOutputTokens()
-				: DEFAULT_OUTPUT_TOKENS;
-		return prompt.promptTokens() * this.nanosPerPromptToken
+		return engineNanos(prompt.promptTokens(), prompt.estimatedOutputTokens(), slots);
+	}
+
+	/**
+	 * Estimates the share of an engine's time that a request takes.
+	 * @param promptTokens the prompt tokens that the engine reads
+	 * @param estimatedOutputTokens the expected output in tokens, or zero if unknown
+	 * @param slots the number of requests that an engine runs concurrently, or zero if
+	 * unknown
+	 * @return the time in nanoseconds of an engine that serves nothing else
+	 */
+	double engineNanos(double promptTokens, int estimatedOutputTokens, int slots) {
+		double outputTokens = (estimatedOutputTokens > 0) ? estimatedOutputTokens : DEFAULT_OUTPUT_TOKENS;
+		return promptTokens * this.nanosPerPromptToken
 				+ outputTokens * this.nanosPerOutputToken / ((slots > 0) ? slots : DEFAULT_SLOTS);
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -118,6 +118,16 @@
 		return this.upstreamsByName.values().stream().mapToInt((upstream) -> upstream.host().slots()).max().orElse(0);
 	}
 
+	/**
+	 * Estimates the engine time of an attempt, without the cached part of its prompt.
+	 * @param grant the grant of the attempt
+	 * @return the time in nanoseconds of an engine that serves nothing else
+	 */
+	double engineNanos(PlacementGrant grant) {
+		return this.engineSpeed.engineNanos(grant.pendingPrefill(),
+				grant.attributes().options().prompt().estimatedOutputTokens(), slots());
+	}
+
 	EngineSpeed engineSpeed() {
 		return this.engineSpeed;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -27,6 +27,7 @@
 import org.cyclamenstall.internal.policy.quarantine.QuarantineRefusal;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.policy.AttemptResult;
+import org.cyclamenstall.policy.EngineTimeRecorder;
 import org.cyclamenstall.policy.GrantListener;
 import org.cyclamenstall.policy.Refusal;
 import org.cyclamenstall.policy.RequestAttributes;
@@ -78,6 +79,8 @@
 
 	private final StartedRequests startedRequests;
 
+	private final EngineTimeRecorder engineTime;
+
 	private final EventLog events;
 
 	private final PlacementMetrics metrics;
@@ -104,20 +107,23 @@
 	 * @param fleetLoad the load of the other daemons
 	 * @param quarantine the prompt parts that crash upstreams
 	 * @param startedRequests receives the requests that upstreams began
+	 * @param engineTime receives the engine time of the requests that are sent
 	 * @param clock the monotonic clock
 	 * @param random the source of randomness
 	 * @param events the event log
 	 * @param registry the registry of the metrics
 	 */
 	public PlacementTrafficController(PlacementSettings settings, HostList hosts, String failureDomain,
-			FleetLoad fleetLoad, PromptQuarantine quarantine, StartedRequests startedRequests, MonotonicClock clock,
-			UniformRandomProvider random, EventLog events, PrometheusRegistry registry) {
+			FleetLoad fleetLoad, PromptQuarantine quarantine, StartedRequests startedRequests,
+			EngineTimeRecorder engineTime, MonotonicClock clock, UniformRandomProvider random, EventLog events,
+			PrometheusRegistry registry) {
 		this.settings = settings;
 		this.hosts = hosts;
 		this.failureDomain = failureDomain;
 		this.fleetLoad = fleetLoad;
 		this.quarantine = quarantine;
 		this.startedRequests = startedRequests;
+		this.engineTime = engineTime;
 		this.clock = clock;
 		this.random = random;
 		this.overloadPolicy = new OverloadPolicy(random);
@@ -374,6 +380,9 @@
 		this.quarantine.startProbe(ticket.service(), ticket.attributes().options().prompt(), nowNanos);
 		this.events.record(placedEvent(grant, reason, nowNanos));
 		poolOf(ticket).recordStart(grant, nowNanos);
+		if (ticket.attributes().promptTokens() > 0) {
+			this.engineTime.record(ticket.service(), Math.round(poolOf(ticket).engineNanos(grant)));
+		}
 		this.callbacks.add(() -> listener.onGranted(grant));
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/routes/UpstreamService.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/routes/UpstreamService.java
@@ -10,7 +10,10 @@
  * upstream
  * @param engine the properties of its model engines, or {@code null} for a service
  * without engines
+ * @param scaling the properties of orders of upstreams, or {@code null} if the number of
+ * upstreams is fixed
  */
-public record UpstreamService(String name, int maximumConnections, @Nullable EngineProperties engine) {
+public record UpstreamService(String name, int maximumConnections, @Nullable EngineProperties engine,
+		@Nullable ScalingProperties scaling) {
 
 }
