Send nothing more to an upstream that says in a response that it leaves

Change: the announcement is kept for one incarnation, apart from the listed hosts, so that neither the list nor a disappearance from it takes it back (docs/design/upstream-announcements.md). Requests under way go on.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
@@ -342,6 +342,17 @@
 
 	}
 
+	/**
+	 * An upstream said something of itself in a response.
+	 *
+	 * @param upstream the upstream
+	 * @param state {@code leaving}, or {@code unavailable} for a time
+	 * @param forMillis the time in milliseconds, or {@code null} for good
+	 */
+	record UpstreamAnnounced(String upstream, String state, @Nullable Long forMillis) implements Event {
+
+	}
+
 	/**
 	 * This daemon leads the fleet.
 	 *
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
@@ -6,9 +6,8 @@
 import org.cyclamenstall.policy.RequestAttributes;
 
 /**
- * Represents one attempt of a request at one upstream. Load reports of the upstream and
- * its notice that it is draining have no effect. Thread-safe: mutable fields are guarded
- * by the controller's lock.
+ * Represents one attempt of a request at one upstream. Load reports of the upstream have
+ * no effect. Thread-safe: mutable fields are guarded by the controller's lock.
  */
 final class PlacementGrant implements Grant {
 
@@ -73,6 +72,7 @@
 
 	@Override
 	public void markUpstreamDraining() {
+		this.controller.recordLeaving(this);
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -52,6 +52,8 @@
 
 	private final ResponseTimes responseTimes = new ResponseTimes();
 
+	private final UpstreamAnnouncements announcements = new UpstreamAnnouncements();
+
 	private final WaitingRequests queue = new WaitingRequests();
 
 	private final DispatchRate dispatchRate = new DispatchRate();
@@ -91,8 +93,8 @@
 			if (known != null) {
 				known.updateHost(host);
 			}
-			this.upstreamsByName.put(host.host(),
-					(known != null) ? known : new PlacementUpstream(host, DEFAULT_CACHE_TOKENS, this.fleetLoad));
+			this.upstreamsByName.put(host.host(), (known != null) ? known
+					: new PlacementUpstream(host, DEFAULT_CACHE_TOKENS, this.fleetLoad, this.announcements));
 		}
 		updatePartition(nowNanos);
 	}
@@ -321,6 +323,18 @@
 		}
 	}
 
+	/**
+	 * Records that an upstream has said that it leaves.
+	 * @param grant the grant of the attempt to which it responded
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void recordLeaving(PlacementGrant grant, long nowNanos) {
+		if (this.announcements.recordLeaving(grant.upstream())) {
+			this.events.record(new Event.UpstreamAnnounced(grant.upstream().host(), "leaving", null));
+			updatePartition(nowNanos);
+		}
+	}
+
 	/**
 	 * Records that an upstream is silent in the middle of a stream; once for each
 	 * attempt.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -419,6 +419,13 @@
 		}
 	}
 
+	void recordLeaving(PlacementGrant grant) {
+		runLocked(() -> {
+			poolOf(grant.ticket()).recordLeaving(grant, this.clock.nanoTime());
+			return true;
+		});
+	}
+
 	void endAttempt(PlacementGrant grant, AttemptResult result) {
 		runLocked(() -> {
 			endAttempt(grant, result, this.clock.nanoTime());
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
@@ -40,6 +40,8 @@
 
 	private final FleetLoad fleetLoad;
 
+	private final UpstreamAnnouncements announcements;
+
 	private final long upstreamKey;
 
 	private final double[] pendingPrefillByPriority = new double[RequestPriority.LOWEST + 1];
@@ -48,7 +50,8 @@
 
 	private long lastDataReceivedAtNanos;
 
-	PlacementUpstream(ListedHost host, long cacheTokens, FleetLoad fleetLoad) {
+	PlacementUpstream(ListedHost host, long cacheTokens, FleetLoad fleetLoad, UpstreamAnnouncements announcements) {
+		this.announcements = announcements;
 		this.host = host;
 		this.fleetLoad = fleetLoad;
 		this.upstreamKey = UpstreamLoad.keyOf(host.host());
@@ -73,8 +76,12 @@
 		this.host = newHost;
 	}
 
+	/**
+	 * Returns whether the upstream accepts new requests, by the list and by its own word.
+	 * @return {@code false} if it leaves
+	 */
 	boolean isLive() {
-		return this.host.state() == HostState.LIVE;
+		return this.host.state() == HostState.LIVE && !this.announcements.isLeaving(this.host);
 	}
 
 	UpstreamHealth health() {
