Order no upstreams before it is known how many were found at the start

Ruled out: the busy share; the need did not come from engine time, there was no traffic yet.

Change: while the number grows, nothing is ordered; it counts as known after two seconds without growth.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/scaling/OrderedUpstreams.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/scaling/OrderedUpstreams.java
@@ -70,7 +70,7 @@
 			this.nowNanos += STEP.toNanos();
 			this.upstreams.removeIf((upstream) -> upstream.goneAtNanos - this.nowNanos <= 0);
 			this.smallestLiveCount = Math.min(this.smallestLiveCount, live());
-			for (UpstreamOrder order : this.scaler.decide(this.properties, hosts(), needed, true, this.nowNanos)) {
+			for (UpstreamOrder order : this.scaler.decide(this.properties, hosts(), needed, this.nowNanos)) {
 				this.scaler.onResult(order, carryOut(order), BOOT_TIME, this.nowNanos);
 			}
 		}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/scaling/UpstreamScalerTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/scaling/UpstreamScalerTests.java
@@ -83,7 +83,7 @@
 		@Test
 		void nothingIsOrderedForAServiceWithoutAListedUpstream() {
 			List<UpstreamOrder> orders = new UpstreamScaler("engines")
-				.decide(UpstreamScalerTests.this.upstreams.properties, List.of(), NEEDED, true, 0);
+				.decide(UpstreamScalerTests.this.upstreams.properties, List.of(), NEEDED, 0);
 			assertThat(orders, empty());
 		}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/scaling/UpstreamNeed.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/scaling/UpstreamNeed.java
@@ -26,7 +26,7 @@
 	private static final long OBSERVATION_NANOS = Duration.ofMinutes(5).toNanos();
 
 	/** Time without growth after which all upstreams count as found. */
-	private static final long STABLE_NANOS = Duration.ofSeconds(3).toNanos();
+	private static final long STABLE_NANOS = Duration.ofSeconds(2).toNanos();
 
 	private static final double NANOS_PER_MILLI = 1e6;
 
@@ -60,15 +60,15 @@
 	 * @param nowNanos the time
 	 */
 	public void recordInitialCount(double count, long nowNanos) {
-		if (count > this.initialCount && !this.initialCountKnown) {
+		if (count > this.initialCount) {
 			this.initialCount = count;
 			this.grownAtNanos = nowNanos;
 		}
-		this.initialCountKnown |= nowNanos - this.grownAtNanos >= STABLE_NANOS;
+		this.initialCountKnown = nowNanos - this.grownAtNanos >= STABLE_NANOS;
 	}
 
 	/**
-	 * Returns whether the need is known well enough to give up upstreams.
+	 * Returns whether it is known how many upstreams were found at the start.
 	 * @return {@code false} while the number of upstreams at the start has grown lately
 	 */
 	public boolean isInitialCountKnown() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/scaling/UpstreamOrders.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/scaling/UpstreamOrders.java
@@ -98,10 +98,14 @@
 		List<ListedHost> listed = this.hosts.current().hosts(service);
 		UpstreamNeed need = this.needs.computeIfAbsent(service, (name) -> new UpstreamNeed(nowNanos));
 		need.recordEngineTime(this.engineTime.totalMillis(service), nowNanos);
-		need.recordInitialCount(UpstreamScaler.guaranteed(listed), nowNanos);
+		if (!need.isInitialCountKnown()) {
+			// Upstreams that were ordered meanwhile would count as needed.
+			need.recordInitialCount(UpstreamScaler.guaranteed(listed), nowNanos);
+			return;
+		}
 		double needed = need.upstreams(nowNanos);
 		UpstreamScaler scaler = this.scalers.computeIfAbsent(service, UpstreamScaler::new);
-		for (UpstreamOrder order : scaler.decide(properties, listed, needed, need.isInitialCountKnown(), nowNanos)) {
+		for (UpstreamOrder order : scaler.decide(properties, listed, needed, nowNanos)) {
 			send(order, scaler, properties, listed, needed);
 		}
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/scaling/UpstreamScaler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/scaling/UpstreamScaler.java
@@ -82,13 +82,12 @@
 	 * @param properties the properties of the service
 	 * @param hosts the listed hosts of the service
 	 * @param needed the number of upstreams that the service needs
-	 * @param mayGiveUp whether on-demand upstreams may be given up
 	 * @param nowNanos the time
 	 * @return the orders, at most one for each kind and failure domain; empty if no host
 	 * is listed
 	 */
 	public List<UpstreamOrder> decide(ScalingProperties properties, List<ListedHost> hosts, double needed,
-			boolean mayGiveUp, long nowNanos) {
+			long nowNanos) {
 		if (hosts.isEmpty()) {
 			return List.of();
 		}
@@ -98,7 +97,7 @@
 		if (usesPreemptible(properties)) {
 			addWantedPreemptible(wanted, properties, present, needed, nowNanos);
 		}
-		addWantedOnDemand(wanted, properties, present, needed, mayGiveUp && isGiveUpDue(nowNanos), nowNanos);
+		addWantedOnDemand(wanted, properties, present, needed, nowNanos);
 		List<UpstreamOrder> orders = new ArrayList<>();
 		wanted.forEach((kind, count) -> {
 			if (count != state(kind).expected(present.getOrDefault(kind, 0), nowNanos)) {
@@ -176,7 +175,7 @@
 	}
 
 	private void addWantedOnDemand(Map<UpstreamKind, Integer> wanted, ScalingProperties properties,
-			Map<UpstreamKind, Integer> present, double needed, boolean mayGiveUp, long nowNanos) {
+			Map<UpstreamKind, Integer> present, double needed, long nowNanos) {
 		int listedPreemptible = 0;
 		int expectedPreemptible = 0;
 		int largestDomain = 0;
@@ -199,7 +198,7 @@
 		if (shortage > 0) {
 			addOnDemand(wanted, properties, present, shortage, nowNanos);
 		}
-		else if (listedOnDemand > kept && expectedOnDemand > kept && mayGiveUp) {
+		else if (listedOnDemand > kept && expectedOnDemand > kept && isGiveUpDue(nowNanos)) {
 			int surplus = Math.min(listedOnDemand, expectedOnDemand) - kept;
 			int step = (int) Math.max(1, MAXIMUM_SHARE_GIVEN_UP * (listedOnDemand + listedPreemptible));
 			giveUpOnDemand(wanted, properties, present, Math.min(surplus, step), nowNanos);
