Share the sending and receiving of datagrams between the two exchanges

The metering had a copy of the socket and the receiving loop of the load exchange. DatagramEndpoint holds both now; no behaviour changed.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/MeteringExchange.java
@@ -1,8 +1,5 @@
 package org.cyclamenstall.internal.metering;
 
-import java.io.IOException;
-import java.net.DatagramPacket;
-import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -13,11 +10,9 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.cyclamenstall.errors.ErrorKind;
-import org.cyclamenstall.errors.RouterException;
-import org.cyclamenstall.internal.kernel.EssentialThread;
 import org.cyclamenstall.internal.kernel.PeriodicTask;
 import org.cyclamenstall.internal.leadership.LeadershipService;
+import org.cyclamenstall.internal.peers.DatagramEndpoint;
 import org.cyclamenstall.internal.peers.load.LoadEndpoint;
 import org.cyclamenstall.kernel.Service;
 import org.cyclamenstall.kernel.SuspendAwareClock;
@@ -36,17 +31,9 @@
 
 	private static final Duration INTERVAL = Duration.ofMillis(500);
 
-	/** Maximum size of a datagram with several windows, which avoids fragmentation. */
-	private static final int MAXIMUM_DATAGRAM_BYTES = 1_400;
-
-	/** Size of the largest datagram that is received completely. */
-	private static final int RECEIVE_BUFFER_BYTES = 9_000;
-
 	/** Times that the last counts are sent when the daemon shuts down. */
 	private static final int LAST_SENDS = 3;
 
-	private final MeteringSettings settings;
-
 	private final LoadEndpoint self;
 
 	private final long incarnation;
@@ -65,8 +52,13 @@
 
 	private final SuspendAwareClock clock;
 
+	private final DatagramEndpoint endpoint;
+
 	private final MeteringCodec codec = new MeteringCodec();
 
+	/** Used by the receiving thread only. */
+	private final MeteringCodec receivingCodec = new MeteringCodec();
+
 	private final MeteringMembers members;
 
 	/** Newest notice of a leader, or {@code null} before the first one. */
@@ -74,8 +66,6 @@
 
 	private final PeriodicTask sender = new PeriodicTask("metering-sender", INTERVAL, this::exchange);
 
-	private @Nullable DatagramSocket socket;
-
 	/**
 	 * Creates an exchange.
 	 * @param settings the settings
@@ -93,7 +83,7 @@
 			LeadershipService leadership, LocalCounts localCounts, CollectedCounts collectedCounts,
 			LocalEngineTime localEngineTime, CollectedEngineTime collectedEngineTime, FleetClock fleetClock,
 			SuspendAwareClock clock) {
-		this.settings = settings;
+		this.endpoint = new DatagramEndpoint(settings.address());
 		this.self = new LoadEndpoint(settings.address(), failureDomain);
 		this.incarnation = incarnation;
 		this.leadership = leadership;
@@ -108,15 +98,8 @@
 
 	@Override
 	public void start() {
-		try {
-			DatagramSocket newSocket = new DatagramSocket(this.settings.address());
-			this.socket = newSocket;
-			EssentialThread.start("metering-receiver", () -> receive(newSocket), newSocket::isClosed);
-			this.sender.start();
-		}
-		catch (IOException ex) {
-			throw new RouterException(ErrorKind.SETTINGS_INVALID, "cannot listen on " + this.settings.address(), ex);
-		}
+		this.endpoint.open("metering-receiver", this::onDatagram);
+		this.sender.start();
 	}
 
 	@Override
@@ -125,9 +108,7 @@
 		for (int number = 0; number < LAST_SENDS; number++) {
 			exchange();
 		}
-		if (this.socket != null) {
-			this.socket.close();
-		}
+		this.endpoint.close();
 	}
 
 	private synchronized void exchange() {
@@ -173,7 +154,7 @@
 		this.notice = newNotice;
 		byte[] datagram = this.codec.encode(new MeteringMessage(this.self, this.incarnation,
 				this.fleetClock.wallMillis(), Map.of(), Map.of(), newNotice));
-		this.members.current(nowNanos).forEach((member) -> send(datagram, member.address()));
+		this.members.current(nowNanos).forEach((member) -> this.endpoint.send(datagram, member.address()));
 	}
 
 	private void sendCounts(Map<Long, Map<String, Integer>> counts, Map<String, Long> engineMillis,
@@ -183,8 +164,8 @@
 		}
 		byte[] datagram = this.codec.encode(new MeteringMessage(this.self, this.incarnation,
 				this.fleetClock.wallMillis(), counts, engineMillis, null));
-		if (datagram.length <= MAXIMUM_DATAGRAM_BYTES || isIndivisible(counts)) {
-			receivers.forEach((receiver) -> send(datagram, receiver));
+		if (datagram.length <= DatagramEndpoint.MAXIMUM_BYTES || isIndivisible(counts)) {
+			receivers.forEach((receiver) -> this.endpoint.send(datagram, receiver));
 			return;
 		}
 		split(counts).forEach((part) -> sendCounts(part, engineMillis, receivers));
@@ -215,37 +196,10 @@
 		return List.of(first, second);
 	}
 
-	private void send(byte[] datagram, InetSocketAddress receiver) {
-		DatagramSocket currentSocket = this.socket;
-		if (currentSocket == null || currentSocket.isClosed()) {
-			return;
-		}
-		try {
-			currentSocket.send(new DatagramPacket(datagram, datagram.length, receiver));
-		}
-		catch (IOException ex) {
-			logger.debug("Could not send a metering message to {}", receiver, ex);
-		}
-	}
-
-	private void receive(DatagramSocket receivingSocket) {
-		MeteringCodec receivingCodec = new MeteringCodec();
-		byte[] buffer = new byte[RECEIVE_BUFFER_BYTES];
-		while (!receivingSocket.isClosed()) {
-			DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
-			try {
-				receivingSocket.receive(packet);
-			}
-			catch (IOException ex) {
-				if (!receivingSocket.isClosed()) {
-					logger.debug("Could not receive a metering message", ex);
-				}
-				continue;
-			}
-			MeteringMessage message = receivingCodec.decode(buffer, packet.getLength());
-			if (message != null) {
-				onMessage(message);
-			}
+	private void onDatagram(byte[] buffer, int length) {
+		MeteringMessage message = this.receivingCodec.decode(buffer, length);
+		if (message != null) {
+			onMessage(message);
 		}
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/peers/load/LoadExchange.java
@@ -1,8 +1,5 @@
 package org.cyclamenstall.internal.peers.load;
 
-import java.io.IOException;
-import java.net.DatagramPacket;
-import java.net.DatagramSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -18,14 +15,11 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.cyclamenstall.errors.ErrorKind;
-import org.cyclamenstall.errors.RouterException;
-import org.cyclamenstall.internal.kernel.EssentialThread;
+import org.cyclamenstall.internal.peers.DatagramEndpoint;
 import org.cyclamenstall.internal.policy.quarantine.PromptQuarantine;
 import org.cyclamenstall.internal.policy.quarantine.QuarantineReport;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.cyclamenstall.kernel.Service;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Sends the load of this daemon to the other daemons in datagrams, and receives theirs.
@@ -38,12 +32,6 @@
 
 	private static final Logger logger = LogManager.getLogger(LoadExchange.class);
 
-	/** Maximum size of a datagram with several reports, which avoids fragmentation. */
-	private static final int MAXIMUM_DATAGRAM_BYTES = 1_400;
-
-	/** Size of the largest datagram that is received completely. */
-	private static final int RECEIVE_BUFFER_BYTES = 9_000;
-
 	private static final long MINIMUM_INTERVAL_MILLIS = 100;
 
 	/** Interval of reports per daemon, which bounds the datagrams of each daemon. */
@@ -52,8 +40,6 @@
 	/** Time after which a report is sent although nothing has changed. */
 	private static final long HEARTBEAT_MILLIS = 500;
 
-	private final LoadExchangeSettings settings;
-
 	private final LoadEndpoint self;
 
 	private final long incarnation;
@@ -68,8 +54,13 @@
 
 	private final LoadMembers members;
 
+	private final DatagramEndpoint endpoint;
+
 	private final LoadReportCodec codec = new LoadReportCodec();
 
+	/** Used by the receiving thread only. */
+	private final LoadReportCodec receivingCodec = new LoadReportCodec();
+
 	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor((task) -> {
 		Thread thread = new Thread(task, "load-exchange");
 		thread.setDaemon(true);
@@ -80,8 +71,6 @@
 
 	private final PauseDetector pauseDetector;
 
-	private @Nullable DatagramSocket socket;
-
 	private volatile int memberCount = 1;
 
 	private long sequence;
@@ -105,7 +94,7 @@
 	public LoadExchange(LoadExchangeSettings settings, String failureDomain, long incarnation,
 			Supplier<List<UpstreamLoad>> localLoads, FleetLoad fleetLoad, PromptQuarantine quarantine,
 			MonotonicClock clock, UniformRandomProvider random) {
-		this.settings = settings;
+		this.endpoint = new DatagramEndpoint(settings.address());
 		this.self = new LoadEndpoint(settings.address(), failureDomain);
 		this.incarnation = incarnation;
 		this.localLoads = localLoads;
@@ -119,15 +108,8 @@
 
 	@Override
 	public void start() {
-		try {
-			DatagramSocket newSocket = new DatagramSocket(this.settings.address());
-			this.socket = newSocket;
-			EssentialThread.start("load-receiver", () -> receiveReports(newSocket), newSocket::isClosed);
-			this.executor.execute(this::sendReportAndReschedule);
-		}
-		catch (IOException ex) {
-			throw new RouterException(ErrorKind.SETTINGS_INVALID, "cannot listen on " + this.settings.address(), ex);
-		}
+		this.endpoint.open("load-receiver", this::onDatagram);
+		this.executor.execute(this::sendReportAndReschedule);
 	}
 
 	/**
@@ -140,13 +122,10 @@
 
 	@Override
 	public void close() {
-		DatagramSocket currentSocket = this.socket;
-		if (currentSocket != null) {
-			this.executor.execute(() -> {
-				sendFarewell();
-				currentSocket.close();
-			});
-		}
+		this.executor.execute(() -> {
+			sendFarewell();
+			this.endpoint.close();
+		});
 		this.executor.shutdown();
 	}
 
@@ -223,44 +202,17 @@
 			return;
 		}
 		byte[] bytes = this.codec.encode(reports);
-		if (bytes.length > MAXIMUM_DATAGRAM_BYTES && reports.size() > 1) {
+		if (bytes.length > DatagramEndpoint.MAXIMUM_BYTES && reports.size() > 1) {
 			int half = reports.size() / 2;
 			send(receivers, reports.subList(0, half));
 			send(receivers, reports.subList(half, reports.size()));
 			return;
 		}
-		receivers.forEach((receiver) -> send(bytes, receiver));
+		receivers.forEach((receiver) -> this.endpoint.send(bytes, receiver.address()));
 	}
 
-	private void send(byte[] bytes, LoadEndpoint receiver) {
-		DatagramSocket currentSocket = this.socket;
-		if (currentSocket == null) {
-			return;
-		}
-		try {
-			currentSocket.send(new DatagramPacket(bytes, bytes.length, receiver.address()));
-		}
-		catch (IOException ex) {
-			logger.debug("Could not send a load report to {}", receiver.address(), ex);
-		}
-	}
-
-	private void receiveReports(DatagramSocket receivingSocket) {
-		LoadReportCodec receivingCodec = new LoadReportCodec();
-		byte[] buffer = new byte[RECEIVE_BUFFER_BYTES];
-		while (!receivingSocket.isClosed()) {
-			DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
-			try {
-				receivingSocket.receive(packet);
-			}
-			catch (IOException ex) {
-				if (!receivingSocket.isClosed()) {
-					logger.debug("Could not receive a load report", ex);
-				}
-				continue;
-			}
-			receivingCodec.decode(buffer, packet.getLength()).forEach(this::onReport);
-		}
+	private void onDatagram(byte[] buffer, int length) {
+		this.receivingCodec.decode(buffer, length).forEach(this::onReport);
 	}
 
 	private void onReport(LoadReport report) {
