Leave an upstream alone for the time that it asks for, and count refusals as evidence

Cause: the header wasn't read; and a refusal counted as nothing, so that a quick refuser looked idle, got its full share, and its refusals used up the retry budget.

Change (docs/design/upstream-announcements.md): the time is a filter of the candidates of every attempt, checked again directly before the first byte; a withdrawn attempt is placed elsewhere without the retry budget. A refusal without the header pauses the upstream for 50 ms, doubled up to a second, as a preference. If all are unavailable, a request waits for the earliest end if it has the time, and is refused at once otherwise. Each daemon returns with one request at a time until one succeeds.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.internal.gateway;
 
+import java.time.Duration;
+
 import org.cyclamenstall.internal.upstream.AttemptFailure;
 import org.cyclamenstall.internal.upstream.AttemptListener;
 import org.cyclamenstall.internal.upstream.BufferedResponse;
@@ -128,6 +130,12 @@
 
 	@Override
 	public boolean beginSending(UpstreamAttempt source) {
+		Grant current = this.grant;
+		if (current != null && !this.guard.decide(current::maySend, true)) {
+			executeGuarded(() -> this.request.onAttemptFailed(this, AttemptFailure.WITHDRAWN,
+					"the upstream announced that it wants no requests"));
+			return false;
+		}
 		return this.guard.decide(() -> this.request.beginSending(this), false);
 	}
 
@@ -169,6 +177,14 @@
 		}
 	}
 
+	@Override
+	public void onUpstreamUnavailable(UpstreamAttempt source, Duration duration) {
+		Grant current = this.grant;
+		if (current != null) {
+			this.guard.tolerate(() -> current.recordUnavailable(duration));
+		}
+	}
+
 	@Override
 	public void onUpstreamDraining(UpstreamAttempt source) {
 		Grant current = this.grant;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementGrant.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.internal.policy.placement;
 
+import java.time.Duration;
+
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.Grant;
@@ -75,6 +77,16 @@
 		this.controller.recordLeaving(this);
 	}
 
+	@Override
+	public void recordUnavailable(Duration duration) {
+		this.controller.recordUnavailable(this, duration);
+	}
+
+	@Override
+	public boolean maySend() {
+		return this.controller.maySend(this);
+	}
+
 	@Override
 	public void release(AttemptResult result) {
 		this.controller.endAttempt(this, result);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementPool.java
@@ -190,7 +190,7 @@
 	 * @return the upstream, or {@code null} if all live upstreams were tried
 	 */
 	@Nullable PlacementUpstream chooseForRetry(PlacementTicket ticket, long nowNanos) {
-		return choose(ticket, untriedUpstreams(ticket), (upstream) -> true, nowNanos);
+		return choose(ticket, untriedUpstreams(ticket, nowNanos), (upstream) -> true, nowNanos);
 	}
 
 	/**
@@ -201,7 +201,7 @@
 	 * @return the upstream, or {@code null} if there is none
 	 */
 	@Nullable PlacementUpstream chooseForReplacement(PlacementTicket ticket, long nowNanos) {
-		List<PlacementUpstream> healthy = healthy(untriedUpstreams(ticket), nowNanos);
+		List<PlacementUpstream> healthy = healthy(untriedUpstreams(ticket, nowNanos), nowNanos);
 		return this.strategy.choose(healthy, PlacementUpstream::hasFreeSlot, this.partition, this.engineSpeed,
 				ticket.attributes(), nowNanos);
 	}
@@ -215,7 +215,7 @@
 	 */
 	@Nullable PlacementUpstream chooseForFirstAttempt(PlacementTicket ticket, long nowNanos) {
 		double referenceTokens = windowReferenceTokens(ticket);
-		return choose(ticket, untriedUpstreams(ticket),
+		return choose(ticket, untriedUpstreams(ticket, nowNanos),
 				(upstream) -> upstream.hasRoom(ticket, referenceTokens, nowNanos), nowNanos);
 	}
 
@@ -235,10 +235,10 @@
 				this.engineSpeed.promptTokensIn(objective.toNanos() * WINDOW_OBJECTIVE_SHARE));
 	}
 
-	private List<PlacementUpstream> untriedUpstreams(PlacementTicket ticket) {
+	private List<PlacementUpstream> untriedUpstreams(PlacementTicket ticket, long nowNanos) {
 		return this.upstreamsByName.values()
 			.stream()
-			.filter((upstream) -> upstream.isLive() && !ticket.triedUpstreams().contains(upstream))
+			.filter((upstream) -> upstream.acceptsRequests(nowNanos) && !ticket.triedUpstreams().contains(upstream))
 			.toList();
 	}
 
@@ -251,11 +251,21 @@
 
 	private @Nullable PlacementUpstream choose(PlacementTicket ticket, List<PlacementUpstream> untried,
 			Predicate<PlacementUpstream> hasRoom, long nowNanos) {
-		List<PlacementUpstream> healthy = healthy(untried, nowNanos);
-		return this.strategy.choose(healthy.isEmpty() ? untried : healthy, hasRoom, this.partition, this.engineSpeed,
+		return this.strategy.choose(preferred(untried, nowNanos), hasRoom, this.partition, this.engineSpeed,
 				ticket.attributes(), nowNanos);
 	}
 
+	private static List<PlacementUpstream> preferred(List<PlacementUpstream> untried, long nowNanos) {
+		List<PlacementUpstream> healthy = healthy(untried, nowNanos);
+		List<PlacementUpstream> willing = healthy.stream()
+			.filter((upstream) -> upstream.refusals().allows(upstream.inFlight(), nowNanos))
+			.toList();
+		if (!willing.isEmpty()) {
+			return willing;
+		}
+		return healthy.isEmpty() ? untried : healthy;
+	}
+
 	void recordStart(PlacementGrant grant, long nowNanos) {
 		this.dispatchRate.recordDispatch(grant.ticket().fullWorkTokens(), nowNanos);
 		grant.ticket().triedUpstreams().add(grant.placementUpstream());
@@ -280,7 +290,22 @@
 			.sum();
 		double windowWaitNanos = (totalWindow > 0) ? work / totalWindow * WINDOW_DRAIN_NANOS : Double.MAX_VALUE;
 		double dispatchNanos = this.dispatchRate.nanosFor(work, nowNanos);
-		return this.fleetLoad.isKnown() ? dispatchNanos : Math.min(windowWaitNanos, dispatchNanos);
+		return unavailableNanos(nowNanos)
+				+ (this.fleetLoad.isKnown() ? dispatchNanos : Math.min(windowWaitNanos, dispatchNanos));
+	}
+
+	/**
+	 * Returns the time until the first upstream wants requests again.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the time in nanoseconds, or zero if one does or there is none
+	 */
+	private long unavailableNanos(long nowNanos) {
+		return this.upstreamsByName.values()
+			.stream()
+			.filter(PlacementUpstream::isLive)
+			.mapToLong((upstream) -> upstream.remainingUnavailableNanos(nowNanos))
+			.min()
+			.orElse(0);
 	}
 
 	/**
@@ -317,6 +342,7 @@
 		this.engineSpeed.recordFirstEvent(durationNanos, grant.pendingPrefill());
 		grant.placementUpstream().recordDataReceived(nowNanos);
 		grant.placementUpstream().recordPrefillEnd(grant);
+		recordExecution(grant, nowNanos);
 		Duration objective = grant.attributes().options().latencyObjective();
 		if (objective != null) {
 			grant.placementUpstream().window().recordFirstEvent(durationNanos / (double) objective.toNanos(), nowNanos);
@@ -335,6 +361,17 @@
 		}
 	}
 
+	/**
+	 * Records that an upstream has said that it wants no requests for a time.
+	 * @param grant the grant of the attempt that it refused
+	 * @param duration the time from now
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void recordUnavailable(PlacementGrant grant, Duration duration, long nowNanos) {
+		this.announcements.recordUnavailable(grant.upstream(), nowNanos + duration.toNanos());
+		this.events.record(new Event.UpstreamAnnounced(grant.upstream().host(), "unavailable", duration.toMillis()));
+	}
+
 	/**
 	 * Records that an upstream is silent in the middle of a stream; once for each
 	 * attempt.
@@ -370,15 +407,24 @@
 		}
 	}
 
-	private static void updateHealth(PlacementGrant grant, AttemptResult result, long nowNanos) {
+	private void recordExecution(PlacementGrant grant, long nowNanos) {
+		grant.placementUpstream().refusals().recordSuccess();
+		this.announcements.recordSuccess(grant.upstream(), nowNanos);
+	}
+
+	private void updateHealth(PlacementGrant grant, AttemptResult result, long nowNanos) {
 		PlacementUpstream upstream = grant.placementUpstream();
 		switch (result) {
 			case COMPLETED -> {
 				upstream.recordDataReceived(nowNanos);
 				upstream.health().recordSuccess(nowNanos);
+				recordExecution(grant, nowNanos);
 			}
 			case UNREACHABLE -> upstream.health().recordUnreachable(nowNanos);
-			case REFUSED -> upstream.recordDataReceived(nowNanos);
+			case REFUSED -> {
+				upstream.recordDataReceived(nowNanos);
+				upstream.refusals().recordRefusal(nowNanos);
+			}
 			case FAILED, ANSWER_INVALID -> {
 				upstream.recordDataReceived(nowNanos);
 				upstream.health().recordFailure(nowNanos);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -366,8 +366,8 @@
 		if (upstream == null) {
 			return RetryDecision.NO_UPSTREAM;
 		}
-		boolean connected = reason != RetryReason.UNREACHABLE;
-		if (connected && !pool.tryAcquireRetry(nowNanos)) {
+		boolean sent = reason != RetryReason.UNREACHABLE && reason != RetryReason.WITHDRAWN;
+		if (sent && !pool.tryAcquireRetry(nowNanos)) {
 			return RetryDecision.BUDGET_SPENT;
 		}
 		grant(ticket, listener, upstream, reason.label(), nowNanos);
@@ -426,6 +426,20 @@
 		});
 	}
 
+	void recordUnavailable(PlacementGrant grant, Duration duration) {
+		runLocked(() -> {
+			poolOf(grant.ticket()).recordUnavailable(grant, duration, this.clock.nanoTime());
+			return true;
+		});
+	}
+
+	boolean maySend(PlacementGrant grant) {
+		synchronized (this) {
+			PlacementUpstream upstream = grant.placementUpstream();
+			return upstream.isLive() && upstream.remainingUnavailableNanos(this.clock.nanoTime()) == 0;
+		}
+	}
+
 	void endAttempt(PlacementGrant grant, AttemptResult result) {
 		runLocked(() -> {
 			endAttempt(grant, result, this.clock.nanoTime());
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementUpstream.java
@@ -30,6 +30,8 @@
 
 	private UpstreamHealth health = new UpstreamHealth();
 
+	private RefusalBackoff refusals = new RefusalBackoff();
+
 	private final RelativeLatency relativeLatency = new RelativeLatency();
 
 	private ListedHost host;
@@ -72,6 +74,7 @@
 			this.prefixCache.clear();
 			this.relativeLatency.reset();
 			this.health = new UpstreamHealth();
+			this.refusals = new RefusalBackoff();
 		}
 		this.host = newHost;
 	}
@@ -84,6 +87,26 @@
 		return this.host.state() == HostState.LIVE && !this.announcements.isLeaving(this.host);
 	}
 
+	/**
+	 * Returns whether a request may be sent now. Unlike the health, this is not a
+	 * preference.
+	 * @param nowNanos the time on the monotonic clock
+	 * @return {@code false} if the upstream leaves or wants no requests, and shortly
+	 * after that
+	 */
+	boolean acceptsRequests(long nowNanos) {
+		return isLive() && remainingUnavailableNanos(nowNanos) == 0
+				&& !(this.announcements.isReturning(this.host) && inFlight() > 0);
+	}
+
+	long remainingUnavailableNanos(long nowNanos) {
+		return this.announcements.remainingUnavailableNanos(this.host, nowNanos);
+	}
+
+	RefusalBackoff refusals() {
+		return this.refusals;
+	}
+
 	UpstreamHealth health() {
 		return this.health;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/UpstreamAnnouncements.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/UpstreamAnnouncements.java
@@ -10,8 +10,10 @@
  * Holds what the upstreams of a service have said of themselves in their responses. It is
  * kept apart from the listed hosts, because an upstream that said that it leaves may
  * still be listed as live, or disappear from the list and come back. An announcement
- * belongs to one incarnation. The oldest ones are forgotten beyond a maximum number. Not
- * thread-safe: guarded by the lock of the controller.
+ * belongs to one incarnation. Times are on the monotonic clock, so after a suspension of
+ * this host an upstream is left alone for longer than it asked for. The oldest ones are
+ * forgotten beyond a maximum number. Not thread-safe: guarded by the lock of the
+ * controller.
  */
 final class UpstreamAnnouncements {
 
@@ -36,6 +38,54 @@
 		return known != null && known.leaving;
 	}
 
+	/**
+	 * Records that an upstream wants no requests for a time. Lengthens an earlier time,
+	 * and does not shorten it.
+	 * @param host the host to which the attempt was granted
+	 * @param untilNanos the end of the time on the monotonic clock
+	 */
+	void recordUnavailable(ListedHost host, long untilNanos) {
+		Announcement announcement = announcement(host);
+		if (!announcement.unavailable || untilNanos - announcement.unavailableUntilNanos > 0) {
+			announcement.unavailable = true;
+			announcement.unavailableUntilNanos = untilNanos;
+		}
+	}
+
+	/**
+	 * Records that a request was executed, which ends the return of an upstream.
+	 * @param host the host to which the attempt was granted
+	 * @param nowNanos the time on the monotonic clock
+	 */
+	void recordSuccess(ListedHost host, long nowNanos) {
+		Announcement known = find(host);
+		if (known != null && remainingUnavailableNanos(host, nowNanos) == 0) {
+			known.unavailable = false;
+		}
+	}
+
+	/**
+	 * Returns for how long an upstream wants no requests.
+	 * @param host the host
+	 * @param nowNanos the time on the monotonic clock
+	 * @return the time in nanoseconds, or zero
+	 */
+	long remainingUnavailableNanos(ListedHost host, long nowNanos) {
+		Announcement known = find(host);
+		return (known != null && known.unavailable) ? Math.max(0, known.unavailableUntilNanos - nowNanos) : 0;
+	}
+
+	/**
+	 * Returns whether an upstream was unavailable and has not executed a request since.
+	 * It gets one request at a time, so that its return is no rush.
+	 * @param host the host
+	 * @return {@code true} also while it is still unavailable
+	 */
+	boolean isReturning(ListedHost host) {
+		Announcement known = find(host);
+		return known != null && known.unavailable;
+	}
+
 	private Announcement announcement(ListedHost host) {
 		Announcement known = find(host);
 		if (known != null) {
@@ -60,6 +110,10 @@
 
 		private boolean leaving;
 
+		private boolean unavailable;
+
+		private long unavailableUntilNanos;
+
 		Announcement(long incarnation) {
 			this.incarnation = incarnation;
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptFailure.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptFailure.java
@@ -12,6 +12,9 @@
 	/** No connection was established, so no byte of the request was sent. */
 	UNREACHABLE(ErrorKind.UPSTREAM_UNREACHABLE, AttemptResult.UNREACHABLE, RetryReason.UNREACHABLE, true),
 
+	/** The upstream announced that it wants no requests before a byte was sent. */
+	WITHDRAWN(ErrorKind.UPSTREAM_REFUSED, AttemptResult.NOT_SENT, RetryReason.WITHDRAWN, true),
+
 	/** The upstream declared that it did not execute the request. */
 	REFUSED(ErrorKind.UPSTREAM_REFUSED, AttemptResult.REFUSED, RetryReason.REFUSED, true),
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptListener.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptListener.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.internal.upstream;
 
+import java.time.Duration;
+
 /**
  * Receives the progress of an attempt. All methods are called on the I/O thread of the
  * attempt. No call follows after {@link #onResponse}, {@link #onStreamEnded},
@@ -71,4 +73,11 @@
 	 */
 	void onUpstreamDraining(UpstreamAttempt attempt);
 
+	/**
+	 * Called when the upstream states that it wants no requests for a time.
+	 * @param attempt the attempt
+	 * @param duration the time from now
+	 */
+	void onUpstreamUnavailable(UpstreamAttempt attempt, Duration duration);
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ChatUpstreamProtocol.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ChatUpstreamProtocol.java
@@ -62,7 +62,7 @@
 		int status = response.getResponseCode();
 		boolean draining = Boolean.parseBoolean(headers.getFirst(HeaderNames.DRAINING));
 		ResponseKind kind = kindOf(request, context, response);
-		return new ResponseHead(kind, detailFor(kind, status), status, headers, loadOf(headers), draining, null);
+		return new ResponseHead(kind, detailFor(kind, status), status, headers, loadOf(headers), draining, null, null);
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseHead.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseHead.java
@@ -14,10 +14,12 @@
  * @param headers the headers
  * @param load the load that the upstream reports, or {@code null} if it reports none
  * @param draining whether the upstream states that it accepts no new work
+ * @param unavailableFor the time for which the upstream wants no requests, or
+ * {@code null} if it does not say so
  * @param idleTimeout how long the upstream keeps an idle connection open, or {@code null}
  * if it does not specify it
  */
 public record ResponseHead(ResponseKind kind, String detail, int status, HeaderMap headers, @Nullable ReportedLoad load,
-		boolean draining, @Nullable Duration idleTimeout) {
+		boolean draining, @Nullable Duration unavailableFor, @Nullable Duration idleTimeout) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -206,6 +206,9 @@
 		if (responseHead.draining()) {
 			this.listener.onUpstreamDraining(this);
 		}
+		if (responseHead.unavailableFor() != null) {
+			this.listener.onUpstreamUnavailable(this, responseHead.unavailableFor());
+		}
 	}
 
 	/**
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/Grant.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/Grant.java
@@ -1,5 +1,7 @@
 package org.cyclamenstall.policy;
 
+import java.time.Duration;
+
 import org.cyclamenstall.hosts.ListedHost;
 
 /**
@@ -44,6 +46,23 @@
 	 */
 	void markUpstreamDraining();
 
+	/**
+	 * Records that the upstream wants no requests for a time.
+	 * @param duration the time from now
+	 */
+	default void recordUnavailable(Duration duration) {
+	}
+
+	/**
+	 * Returns whether the request may still be sent. Called directly before its first
+	 * byte is sent.
+	 * @return {@code false} if the upstream has announced meanwhile that it wants no
+	 * requests
+	 */
+	default boolean maySend() {
+		return true;
+	}
+
 	/**
 	 * Releases the grant and its slot. Only the first call has an effect.
 	 * @param result the outcome of the attempt
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RetryReason.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/policy/RetryReason.java
@@ -10,6 +10,9 @@
 	/** No connection could be established. */
 	UNREACHABLE,
 
+	/** The upstream announced that it wants no requests before the request was sent. */
+	WITHDRAWN,
+
 	/** The upstream declared that it did not execute the request. */
 	REFUSED,
 
