--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/policy/placement/PlacementTrafficController.java
@@ -14,7 +14,6 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.cyclamenstall.errors.ErrorKind;
 import org.cyclamenstall.events.Event;
 import org.cyclamenstall.events.EventLog;
 import org.cyclamenstall.hosts.HostList;
@@ -29,7 +28,6 @@
 import org.cyclamenstall.policy.AttemptResult;
 import org.cyclamenstall.policy.EngineTimeRecorder;
 import org.cyclamenstall.policy.GrantListener;
-import org.cyclamenstall.policy.Refusal;
 import org.cyclamenstall.policy.RequestAttributes;
 import org.cyclamenstall.policy.RetryDecision;
 import org.cyclamenstall.policy.RetryReason;
@@ -52,9 +50,6 @@
 
 	private static final String FIRST_ATTEMPT_REASON = "first";
 
-	/** Time after which a caller of a daemon that shuts down finds another daemon. */
-	private static final Duration SHUTDOWN_RETRY_DELAY = Duration.ofMillis(50);
-
 	private static final long TICK_INTERVAL_MILLIS = 50;
 
 	private final Map<String, PlacementPool> pools = new HashMap<>();
@@ -75,6 +70,8 @@
 
 	private final OverloadPolicy overloadPolicy;
 
+	private final PlacementRefusals refusals;
+
 	private final PromptQuarantine quarantine;
 
 	private final StartedRequests startedRequests;
@@ -127,6 +124,7 @@
 		this.clock = clock;
 		this.random = random;
 		this.overloadPolicy = new OverloadPolicy(random);
+		this.refusals = new PlacementRefusals(this.callbacks, this.overloadPolicy);
 		this.events = events;
 		this.metrics = new PlacementMetrics(registry);
 	}
@@ -163,12 +161,11 @@
 	private void enqueue(PlacementTicket ticket, long nowNanos) {
 		PlacementPool pool = poolOf(ticket);
 		if (this.draining || (this.shutdown != null && !this.shutdown.acceptsRequests(nowNanos))) {
-			refuseShuttingDown(ticket, "The daemon is shutting down");
+			this.refusals.shuttingDown(ticket, "The daemon is shutting down");
 			return;
 		}
 		if (!pool.hasLiveUpstream()) {
-			refuse(ticket, new Refusal(ErrorKind.NO_LIVE_UPSTREAM,
-					"No live upstream serves entry " + ticket.attributes().entry().name()));
+			this.refusals.noLiveUpstream(ticket);
 			return;
 		}
 		pool.recordRequest(ticket.attributes(), nowNanos);
@@ -181,7 +178,7 @@
 			double waitNanos = pool.waitNanos(ticket, pool.queue().workTokensAhead(ticket), nowNanos);
 			if (this.overloadPolicy.shouldRefuse(waitNanos, pool.remainingDispatchNanos(ticket, nowNanos))) {
 				pool.queue().remove(ticket);
-				refuseUpstreamsFull(ticket, waitNanos, nowNanos);
+				this.refusals.upstreamsFull(ticket, waitNanos, nowNanos);
 				return;
 			}
 			this.events
@@ -215,11 +212,7 @@
 			return false;
 		}
 		this.metrics.recordQuarantineRefusal();
-		refuse(ticket,
-				new Refusal(
-						ErrorKind.PROMPT_QUARANTINED, "The prompt part " + refusal.partId()
-								+ " crashes upstreams and is quarantined for " + refusal.sinceMillis() + " ms",
-						refusal.retryAfter()));
+		this.refusals.quarantined(ticket, refusal);
 		return true;
 	}
 
@@ -227,7 +220,7 @@
 		if (mayCompleteBeforeShutdown(pool, ticket, nowNanos)) {
 			return false;
 		}
-		refuseShuttingDown(ticket, "The daemon shuts down before the request could be answered");
+		this.refusals.shuttingDown(ticket, "The daemon shuts down before the request could be answered");
 		return true;
 	}
 
@@ -235,21 +228,6 @@
 		return this.shutdown == null || pool.mayCompleteBefore(this.shutdown.responseDeadlineNanos(), ticket, nowNanos);
 	}
 
-	private void refuseShuttingDown(PlacementTicket ticket, String detail) {
-		refuse(ticket, new Refusal(ErrorKind.SHUTTING_DOWN, detail, SHUTDOWN_RETRY_DELAY));
-	}
-
-	private void refuseUpstreamsFull(PlacementTicket ticket, double waitNanos, long nowNanos) {
-		refuse(ticket,
-				new Refusal(ErrorKind.UPSTREAMS_FULL,
-						"The upstreams of entry " + ticket.attributes().entry().name() + " cannot answer in time",
-						this.overloadPolicy.retryDelay(waitNanos, ticket.remainingNanos(nowNanos))));
-	}
-
-	private void refuse(PlacementTicket ticket, Refusal refusal) {
-		this.callbacks.add(() -> ticket.listener().onRefused(refusal));
-	}
-
 	private void scheduleTick() {
 		if (!this.tickScheduled && this.timer != null) {
 			this.tickScheduled = true;
@@ -304,7 +282,7 @@
 			double waitNanos = pool.waitNanos(ticket, workAhead, nowNanos);
 			if (this.overloadPolicy.shouldRefuse(waitNanos, pool.remainingDispatchNanos(ticket, nowNanos))) {
 				pool.queue().remove(ticket);
-				refuseUpstreamsFull(ticket, waitNanos, nowNanos);
+				this.refusals.upstreamsFull(ticket, waitNanos, nowNanos);
 			}
 			else {
 				workAhead += ticket.fullWorkTokens();
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/scaling/UpstreamScaler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/scaling/UpstreamScaler.java
@@ -23,7 +23,7 @@
  */
 public final class UpstreamScaler {
 
-	/** Share of the on-demand upstreams that may be given up at a time. */
+	/** Share of all upstreams that may be given up at a time. */
 	private static final double MAXIMUM_SHARE_GIVEN_UP = 0.25;
 
 	/** Time between two steps in which on-demand upstreams are given up. */
@@ -176,6 +176,22 @@
 
 	private void addWantedOnDemand(Map<UpstreamKind, Integer> wanted, ScalingProperties properties,
 			Map<UpstreamKind, Integer> present, double needed, long nowNanos) {
+		Supply supply = supply(wanted, properties, present, nowNanos);
+		int kept = (int) Math.max(0, Math.ceil(needed - supply.guaranteedByPreemptible()));
+		int shortage = (int) Math.ceil(needed - supply.expectedPreemptible() - supply.expectedOnDemand());
+		int surplus = Math.min(supply.listedOnDemand(), supply.expectedOnDemand()) - kept;
+		if (shortage > 0) {
+			addOnDemand(wanted, properties, present, shortage, nowNanos);
+		}
+		else if (surplus > 0 && isGiveUpDue(nowNanos)) {
+			int step = (int) Math.max(1,
+					MAXIMUM_SHARE_GIVEN_UP * (supply.listedOnDemand() + supply.listedPreemptible()));
+			giveUpOnDemand(wanted, properties, present, Math.min(surplus, step), nowNanos);
+		}
+	}
+
+	private Supply supply(Map<UpstreamKind, Integer> wanted, ScalingProperties properties,
+			Map<UpstreamKind, Integer> present, long nowNanos) {
 		int listedPreemptible = 0;
 		int expectedPreemptible = 0;
 		int largestDomain = 0;
@@ -192,17 +208,7 @@
 			listedOnDemand += present.getOrDefault(onDemand, 0);
 			expectedOnDemand += state(onDemand).expected(present.getOrDefault(onDemand, 0), nowNanos);
 		}
-		int guaranteedByPreemptible = listedPreemptible - largestDomain;
-		int kept = (int) Math.max(0, Math.ceil(needed - guaranteedByPreemptible));
-		int shortage = (int) Math.ceil(needed - expectedPreemptible - expectedOnDemand);
-		if (shortage > 0) {
-			addOnDemand(wanted, properties, present, shortage, nowNanos);
-		}
-		else if (listedOnDemand > kept && expectedOnDemand > kept && isGiveUpDue(nowNanos)) {
-			int surplus = Math.min(listedOnDemand, expectedOnDemand) - kept;
-			int step = (int) Math.max(1, MAXIMUM_SHARE_GIVEN_UP * (listedOnDemand + listedPreemptible));
-			giveUpOnDemand(wanted, properties, present, Math.min(surplus, step), nowNanos);
-		}
+		return new Supply(listedPreemptible, largestDomain, expectedPreemptible, listedOnDemand, expectedOnDemand);
 	}
 
 	private boolean isGiveUpDue(long nowNanos) {
@@ -254,4 +260,22 @@
 			.toList();
 	}
 
+	/**
+	 * Upstreams in all failure domains.
+	 *
+	 * @param listedPreemptible the preemptible ones that are listed and not leaving
+	 * @param largestDomain the number of those in the failure domain with the most
+	 * @param expectedPreemptible the preemptible ones after the orders that are under way
+	 * @param listedOnDemand the on-demand ones that are listed and not leaving
+	 * @param expectedOnDemand the on-demand ones after the orders that are under way
+	 */
+	private record Supply(int listedPreemptible, int largestDomain, int expectedPreemptible, int listedOnDemand,
+			int expectedOnDemand) {
+
+		int guaranteedByPreemptible() {
+			return this.listedPreemptible - this.largestDomain;
+		}
+
+	}
+
 }
