--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/UpstreamAnnouncementTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/placement/UpstreamAnnouncementTests.java
@@ -54,17 +54,18 @@
 
 		@Test
 		void getsNoFirstAttemptNoRetryAndNoReplacement() {
-			PlacedRequest refused = UpstreamAnnouncementTests.this.fixture.submitLookup();
 			PlacedRequest stream = UpstreamAnnouncementTests.this.fixture.submitChat();
+			PlacedRequest refused = UpstreamAnnouncementTests.this.fixture.submitLookup();
+			while (refused.upstream().equals(stream.upstream())) {
+				refused = UpstreamAnnouncementTests.this.fixture.submitLookup();
+			}
 			String upstream = refused.upstream();
 			refuse(refused, UNAVAILABLE);
 			for (int count = 0; count < 3; count++) {
 				assertThat(UpstreamAnnouncementTests.this.fixture.submitLookup().upstream(), not(equalTo(upstream)));
 			}
 			stream.grant.recordTokens(1);
-			String streaming = stream.upstream();
-			RetryDecision replacement = stream.replace();
-			assertThat(streaming.equals(upstream) || replacement == RetryDecision.NO_UPSTREAM, is(true));
+			assertThat(stream.replace(), is(RetryDecision.NO_UPSTREAM));
 		}
 
 		@Test
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/scaling/UpstreamNeedTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/scaling/UpstreamNeedTests.java
@@ -13,7 +13,6 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.equalTo;
-import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 /**
@@ -114,7 +113,6 @@
 			report(1, 500_900);
 			report(2, 350);
 			assertThat(this.engineTime.totalMillis("engines"), equalTo(350L));
-			assertThat(this.engineTime.totalMillis("engines"), greaterThan(0L));
 		}
 
 	}
