--- a/review/standin-2/SlowReaders.java
+++ b/review/standin-2/SlowReaders.java
@@ -16,6 +16,10 @@
 
 	private static final int SHORT_BYTES = 800;
 
+	/** Machine and bounds of the site gofal-rota-grown, where they differ from those of a small deployment. */
+	private static final String GOFAL = "limits.cpu_cores=2\nlimits.memory_mb=682\nlimits.max_fds=8192\nlimits.link_mbps=140.0\nbounds.contact_ms=4000\n"
+			+ "bounds.drain_ms=3000\nbounds.config_apply_ms=3000\nbounds.budget_slack=198";
+
 	private static final int TIMEOUT_MILLIS = 5_000;
 
 	private static final AtomicInteger ok = new AtomicInteger(), refused = new AtomicInteger(), otherStatus = new AtomicInteger(), ended = new AtomicInteger(),
@@ -71,7 +75,7 @@
 			workers.add(worker);
 			store.put("servers/" + worker.id, worker.entry("ready"));
 		}
-		daemon = new Lab.Daemon(Path.of("").toAbsolutePath(), store, ip, "");
+		daemon = new Lab.Daemon(Path.of("").toAbsolutePath(), store, ip, GOFAL);
 		daemon.start();
 		if (!daemon.awaitReady(25_000)) {
 			Lab.exit(2, "the daemon was not ready");
