Check the bytes of responses before they are parsed

What callers saw.

One: the client's parser is lenient and unbounded, and nothing looked at the bytes that it reads. It gathers trailers in memory without a limit, and it reads something into every spoilt length. Ruled out: an I/O thread kept busy by one connection (all threads stall in step, with the collector); the relay of bodies (the bodies are wrong as read).

VerifiedResponseSource replaces ResponseHeadLimit: a state machine over the raw bytes checks each response against RFC 9112 before the parser sees it, and limits everything that is not a body to 64 KiB together. A violation ends the attempt as malformed. A response is complete only if the framing says so and the reader received as many bytes of the body. On related paths: BlockingHttpClient (store, host list, platform's API) has the same source, rejects interim responses in place of pooling their connection with the final one to come, and drops a connection on which more than the response came; a 304 with a length is not awaited.

Why it works. What may pass is defined by the grammar, not by a list of bad forms; memory is counted from the first byte that is not a body.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
@@ -29,6 +29,7 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
 
 /**
  * HTTP client for one server whose calls block until the complete response is received. A
@@ -43,6 +44,9 @@
 
 	private static final int MAXIMUM_RESPONSE_BYTES = 64 * 1_048_576;
 
+	/** Lowest status of a final response; those below announce one. */
+	private static final int FIRST_FINAL_STATUS = 200;
+
 	private static final long MAXIMUM_IDLE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
 	private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
@@ -134,7 +138,7 @@
 		}
 		connection.getIoThread().execute(() -> {
 			try {
-				ResponseHeadLimit.onRequest(connection);
+				VerifiedResponseSource.of(connection).expectResponse(new HttpString(call.method()));
 				connection.sendRequest(newRequest(call),
 						new Callback<>((exchange) -> onSent(exchange, call, progress), progress));
 			}
@@ -148,18 +152,28 @@
 		exchange.setResponseListener(
 				new Callback<>((completedExchange) -> readResponse(completedExchange, progress), progress));
 		if (call.body().length > 0) {
-			// ISO-8859-1 maps each byte to one character, so the bytes are unchanged.
-			String body = new String(call.body(), StandardCharsets.ISO_8859_1);
-			new StringWriteChannelListener(body, StandardCharsets.ISO_8859_1).setup(exchange.getRequestChannel());
+			new RequestBodyWriter(call.body(), progress).setup(exchange.getRequestChannel());
+		}
+		else {
+			progress.markRequestSent();
 		}
 	}
 
 	private void readResponse(ClientExchange exchange, CallProgress progress) {
-		ResponseHeadLimit.onHeadReceived(exchange.getConnection());
 		ClientResponse response = exchange.getResponse();
+		if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+			// The client ends its exchange with an interim response.
+			progress.fail(new ResponseSyntaxException("the response is an interim one"));
+			return;
+		}
 		Map<String, String> headers = headers(response.getResponseHeaders());
 		new BodyReader(this.buffers, MAXIMUM_RESPONSE_BYTES, (body) -> {
-			returnToPool(exchange.getConnection());
+			VerifiedResponseSource source = VerifiedResponseSource.of(exchange.getConnection());
+			if (!source.isComplete(body.length)) {
+				progress.fail(new ResponseSyntaxException("the response may not be complete"));
+				return;
+			}
+			returnToPool(exchange.getConnection(), progress);
 			progress.complete(
 					new HttpResponse(HttpResponseState.ANSWERED, response.getResponseCode(), headers, body, null));
 		}, progress::fail).handleEvent(exchange.getResponseChannel());
@@ -181,10 +195,13 @@
 		return ((host.indexOf(':') >= 0) ? "[" + host + "]" : host) + ":" + this.address.getPort();
 	}
 
-	private void returnToPool(ClientConnection connection) {
-		if (connection.isOpen()) {
+	private void returnToPool(ClientConnection connection, CallProgress progress) {
+		if (connection.isOpen() && progress.isRequestSent() && VerifiedResponseSource.of(connection).isReusable()) {
 			this.idleConnections.push(new IdleConnection(connection, System.nanoTime()));
 		}
+		else {
+			ClientConnections.abort(connection);
+		}
 	}
 
 	private @Nullable ClientConnection pollIdle() {
@@ -208,6 +225,28 @@
 
 	}
 
+	/**
+	 * Writes the body of a request and notes when it is sent completely. Used on the I/O
+	 * thread.
+	 */
+	private static final class RequestBodyWriter extends StringWriteChannelListener {
+
+		private final CallProgress progress;
+
+		RequestBodyWriter(byte[] body, CallProgress progress) {
+			// ISO-8859-1 maps each byte to one character, so the bytes are unchanged.
+			super(new String(body, StandardCharsets.ISO_8859_1), StandardCharsets.ISO_8859_1);
+			this.progress = progress;
+		}
+
+		@Override
+		protected void writeDone(StreamSinkChannel channel) {
+			this.progress.markRequestSent();
+			super.writeDone(channel);
+		}
+
+	}
+
 	private record Callback<T>(Consumer<T> onCompleted, CallProgress progress) implements ClientCallback<T> {
 
 		@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/CallProgress.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/CallProgress.java
@@ -32,6 +32,8 @@
 
 	private volatile boolean timedOut;
 
+	private volatile boolean requestSent;
+
 	/**
 	 * Moves the call from connecting to sending.
 	 * @param usedConnection the connection of the call
@@ -56,6 +58,17 @@
 		close();
 	}
 
+	/**
+	 * Notes that the whole request was written.
+	 */
+	void markRequestSent() {
+		this.requestSent = true;
+	}
+
+	boolean isRequestSent() {
+		return this.requestSent;
+	}
+
 	boolean isTimedOut() {
 		return this.timedOut;
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/LimitedHttpClient.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/LimitedHttpClient.java
@@ -18,9 +18,8 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Opens client connections whose response headers are limited by
- * {@link ResponseHeadLimit}, and whose reads are limited by {@link TurnLimitedSource}.
- * Stateless and thread-safe.
+ * Opens client connections whose responses are checked by {@link VerifiedResponseSource},
+ * and whose reads are limited by {@link TurnLimitedSource}. Stateless and thread-safe.
  */
 public final class LimitedHttpClient {
 
@@ -43,7 +42,7 @@
 
 			@Override
 			public void completed(ClientConnection connection) {
-				limitingThread.limit().attachTo(connection);
+				limitingThread.source().attachTo(connection);
 				callback.completed(connection);
 			}
 
@@ -56,9 +55,9 @@
 	}
 
 	/**
-	 * Opens one connection on another I/O thread and inserts the limit before the client
-	 * receives the connection. It is never started as a thread: the client accepts no
-	 * other type through which a connection can be prepared.
+	 * Opens one connection on another I/O thread and inserts the sources before the
+	 * client receives the connection. It is never started as a thread: the client accepts
+	 * no other type through which a connection can be prepared.
 	 */
 	private static final class LimitingThread extends XnioIoThread {
 
@@ -66,7 +65,7 @@
 
 		private final ReadTurns turns;
 
-		private @Nullable ResponseHeadLimit limit;
+		private @Nullable VerifiedResponseSource source;
 
 		LimitingThread(XnioIoThread delegate, ReadTurns turns) {
 			super(delegate.getWorker(), delegate.getNumber());
@@ -74,12 +73,12 @@
 			this.turns = turns;
 		}
 
-		ResponseHeadLimit limit() {
-			ResponseHeadLimit insertedLimit = this.limit;
-			if (insertedLimit == null) {
-				throw new IllegalStateException("The connection was opened without a limit");
+		VerifiedResponseSource source() {
+			VerifiedResponseSource insertedSource = this.source;
+			if (insertedSource == null) {
+				throw new IllegalStateException("The connection was opened without its source");
 			}
-			return insertedLimit;
+			return insertedSource;
 		}
 
 		@Override
@@ -87,9 +86,10 @@
 				ChannelListener<? super StreamConnection> openListener, OptionMap options) {
 			return this.delegate.openStreamConnection(destination, (connection) -> {
 				TurnLimitedSource.attachTo(connection, this.turns);
-				ResponseHeadLimit newLimit = new ResponseHeadLimit(connection.getSourceChannel().getConduit());
-				connection.getSourceChannel().setConduit(newLimit);
-				this.limit = newLimit;
+				VerifiedResponseSource newSource = new VerifiedResponseSource(
+						connection.getSourceChannel().getConduit());
+				connection.getSourceChannel().setConduit(newSource);
+				this.source = newSource;
 				ChannelListeners.invokeChannelListener(connection, openListener);
 			}, options);
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/BufferedResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/BufferedResponseReader.java
@@ -66,7 +66,8 @@
 			return;
 		}
 		try {
-			attempt().succeed(this.protocol.validate(this.context, this.responseHead, this.body.toByteArray()));
+			attempt().succeed(this.protocol.validate(this.context, this.responseHead, this.body.toByteArray()),
+					isFullyRead());
 		}
 		catch (InvalidResponseException ex) {
 			attempt().fail(ex.failure(), ex.getMessage());
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseReader.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
+import org.cyclamenstall.internal.http.VerifiedResponseSource;
 import org.jspecify.annotations.Nullable;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -20,8 +21,14 @@
 
 	private @Nullable StreamSourceChannel channel;
 
+	private @Nullable VerifiedResponseSource verifiedSource;
+
+	private long bodyBytes;
+
 	private boolean suspended;
 
+	private boolean fullyRead;
+
 	ResponseReader(UpstreamAttempt attempt) {
 		this.attempt = attempt;
 	}
@@ -33,8 +40,8 @@
 	protected abstract void processBytes(ByteBuffer bytes);
 
 	/**
-	 * Called at the end of the body. A body with neither a length nor a transfer encoding
-	 * ends when its connection is closed.
+	 * Called at the verified end of the body. A body with neither a length nor a transfer
+	 * encoding ends when its connection is closed.
 	 */
 	protected abstract void onEnd();
 
@@ -52,8 +59,28 @@
 		return this.attempt;
 	}
 
-	final void start(StreamSourceChannel source) {
+	/**
+	 * Returns whether the body was read to its end, so that the client has finished its
+	 * exchange.
+	 * @return {@code true} if the connection can be used again
+	 */
+	protected final boolean isFullyRead() {
+		return this.fullyRead;
+	}
+
+	/**
+	 * Starts to read. If there is no body, nothing is read: the client may await one that
+	 * the headers announce.
+	 * @param source the channel of the body
+	 * @param newVerifiedSource the source of the connection
+	 */
+	final void start(StreamSourceChannel source, VerifiedResponseSource newVerifiedSource) {
 		this.channel = source;
+		this.verifiedSource = newVerifiedSource;
+		if (newVerifiedSource.hasNoBody()) {
+			endChecked();
+			return;
+		}
 		source.getReadSetter().set((readable) -> readAvailable());
 		source.wakeupReads();
 	}
@@ -72,6 +99,13 @@
 		}
 	}
 
+	private void endChecked() {
+		VerifiedResponseSource source = this.verifiedSource;
+		if (source != null && this.attempt.checkEnd(source, this.bodyBytes)) {
+			onEnd();
+		}
+	}
+
 	private void readAvailable() {
 		StreamSourceChannel source = this.channel;
 		while (source != null && !this.suspended && !this.attempt.hasEnded()) {
@@ -81,8 +115,7 @@
 				count = source.read(this.buffer);
 			}
 			catch (IOException ex) {
-				this.attempt.fail(AttemptFailure.CONNECTION_LOST,
-						"the connection to the upstream was lost during the response");
+				this.attempt.fail(ex, "the connection to the upstream was lost during the response");
 				return;
 			}
 			if (count == 0) {
@@ -90,9 +123,11 @@
 				return;
 			}
 			if (count < 0) {
-				onEnd();
+				this.fullyRead = true;
+				endChecked();
 				return;
 			}
+			this.bodyBytes += count;
 			this.attempt.onProgress();
 			this.buffer.flip();
 			processBytes(this.buffer);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/StreamedResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/StreamedResponseReader.java
@@ -41,7 +41,7 @@
 	@Override
 	protected void onEnd() {
 		if (this.started && this.parser.isCompleteOnClose()) {
-			attempt().succeedStream(true);
+			attempt().succeedStream(isFullyRead());
 		}
 		else {
 			attempt().fail(AttemptFailure.CONNECTION_LOST, "the stream was truncated");
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -9,7 +9,8 @@
 import io.undertow.client.ClientExchange;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.http.ClientConnections;
-import org.cyclamenstall.internal.http.ResponseHeadLimit;
+import org.cyclamenstall.internal.http.ResponseSyntaxException;
+import org.cyclamenstall.internal.http.VerifiedResponseSource;
 import org.cyclamenstall.kernel.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 import org.xnio.XnioExecutor;
@@ -17,9 +18,9 @@
 
 /**
  * Sends a request to one upstream and reads its response. A response to another attempt
- * is never passed on, and a response whose end cannot be verified counts as truncated.
- * Used on one I/O thread; the listener is notified at most once of the end of the
- * attempt.
+ * is never passed on, nor one that violates HTTP, and a response whose end cannot be
+ * verified counts as truncated. Used on one I/O thread; the listener is notified at most
+ * once of the end of the attempt.
  */
 public final class UpstreamAttempt {
 
@@ -152,7 +153,7 @@
 		AttemptContext context = new AttemptContext(this.upstream, this.requestId, this.requestId + "-" + this.number,
 				this.resumePoint, remainingMillis());
 		startTimer(this.request.timeouts().firstByte());
-		ResponseHeadLimit.onRequest(newConnection);
+		VerifiedResponseSource.of(newConnection).expectResponse(this.request.method());
 		newConnection.sendRequest(this.request.protocol().buildRequest(this.request, context),
 				new SendCallback(context));
 	}
@@ -169,7 +170,6 @@
 		if (this.ended) {
 			return;
 		}
-		ResponseHeadLimit.onHeadReceived(exchange.getConnection());
 		int status = exchange.getResponse().getResponseCode();
 		if (status < FIRST_FINAL_STATUS) {
 			// The client ends its exchange with an interim response, so the final one
@@ -196,7 +196,7 @@
 	private void read(ClientExchange exchange, ResponseReader newReader) {
 		startTimer(this.request.timeouts().gap());
 		this.reader = newReader;
-		newReader.start(exchange.getResponseChannel());
+		newReader.start(exchange.getResponseChannel(), VerifiedResponseSource.of(exchange.getConnection()));
 	}
 
 	private void reportLoad(ResponseHead responseHead) {
@@ -226,6 +226,36 @@
 		return this.ended;
 	}
 
+	/**
+	 * Checks the end of the response, and fails the attempt if the response may not be
+	 * complete. An upstream that closes the connection before it has received the whole
+	 * request breaks off its response, if nothing else marks its end.
+	 * @param source the source of the response
+	 * @param bodyBytes the number of bytes of the body that were received
+	 * @return {@code true} if the response is complete
+	 */
+	boolean checkEnd(VerifiedResponseSource source, long bodyBytes) {
+		if (!source.isComplete(bodyBytes)) {
+			fail(AttemptFailure.MALFORMED, "the body of the response does not match its framing");
+			return false;
+		}
+		return true;
+	}
+
+	/**
+	 * Ends the attempt after an error on its connection.
+	 * @param cause the error
+	 * @param detail the detail message if the response did not violate HTTP
+	 */
+	void fail(IOException cause, String detail) {
+		if (cause instanceof ResponseSyntaxException) {
+			fail(AttemptFailure.MALFORMED, "the response is malformed: " + cause.getMessage());
+		}
+		else {
+			fail(AttemptFailure.CONNECTION_LOST, detail);
+		}
+	}
+
 	/**
 	 * Ends the attempt with a failure and closes its connection.
 	 * @param failure the kind of failure
@@ -239,13 +269,14 @@
 	}
 
 	/**
-	 * Ends the attempt with a buffered response, and pools its connection if the request
-	 * was sent completely.
+	 * Ends the attempt with a buffered response, and pools its connection if both the
+	 * request and the response were transferred completely.
 	 * @param response the response
+	 * @param fullyRead whether the response body was read to its end
 	 */
-	void succeed(BufferedResponse response) {
+	void succeed(BufferedResponse response, boolean fullyRead) {
 		if (end()) {
-			releaseConnection(true);
+			releaseConnection(fullyRead);
 			this.listener.onResponse(this, response);
 		}
 	}
@@ -267,8 +298,7 @@
 		if (releasedConnection == null) {
 			return;
 		}
-		boolean requestFullySent = this.bodyWriter != null && this.bodyWriter.isComplete();
-		if (fullyRead && requestFullySent) {
+		if (fullyRead && isRequestFullySent() && VerifiedResponseSource.of(releasedConnection).isReusable()) {
 			this.connectionPool.release(this.upstream, releasedConnection,
 					(this.responseHead != null) ? this.responseHead.idleTimeout() : null, this.thread);
 		}
@@ -277,6 +307,10 @@
 		}
 	}
 
+	private boolean isRequestFullySent() {
+		return this.bodyWriter != null && this.bodyWriter.isComplete();
+	}
+
 	private boolean end() {
 		if (this.ended) {
 			return false;
@@ -354,7 +388,7 @@
 
 		@Override
 		public void failed(IOException ex) {
-			fail(AttemptFailure.CONNECTION_LOST, "the connection to the upstream was lost while sending");
+			fail(ex, "the connection to the upstream was lost while sending");
 		}
 
 	}
@@ -378,7 +412,7 @@
 
 		@Override
 		public void failed(IOException ex) {
-			fail(AttemptFailure.CONNECTION_LOST, "the connection to the upstream was lost");
+			fail(ex, "the connection to the upstream was lost");
 		}
 
 	}
