Take no end of a connection for the end of a response while the request is being sent

What callers saw, on other systems of the users: an upstream answered a long upload at once with a 200 without a length, sent a part and reset the connection; the part came through as a complete response.

A response without a length ends with its connection, and nothing asked whether the request had been sent by then. Ruled out here: that a reset is read as an orderly end (502 in both routes), but it rests on which half of the connection reports the error, because an error is reported once and a later read sees an end.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/http/BlockingHttpClientTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/http/BlockingHttpClientTests.java
@@ -191,6 +191,19 @@
 			assertThat(post(0).text(), equalTo("whole"));
 		}
 
+		// Guards against a part of an answer that counted as complete because its
+		// connection ended while the request was still being sent.
+		@Test
+		void itsEndBeforeTheEndOfTheRequestIsItsEnd() {
+			BlockingHttpClientTests.this.firstResponse = (output) -> {
+				write(output, "HTTP/1.1 200 OK\r\n\r\na part");
+				BlockingHttpClientTests.this.connections.get(0).shutdownOutput();
+				pause();
+			};
+			HttpResponse response = post(LONG_BODY_BYTES);
+			assertThat(response.text(), response.state(), equalTo(HttpResponseState.NO_ANSWER));
+		}
+
 		private static void pause() {
 			try {
 				TimeUnit.HOURS.sleep(1);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BlockingHttpClient.java
@@ -169,7 +169,7 @@
 		Map<String, String> headers = headers(response.getResponseHeaders());
 		new BodyReader(this.buffers, MAXIMUM_RESPONSE_BYTES, (body) -> {
 			VerifiedResponseSource source = VerifiedResponseSource.of(exchange.getConnection());
-			if (!source.isComplete(body.length)) {
+			if (!source.isComplete(body.length) || (source.isEndedByClose() && !progress.isRequestSent())) {
 				progress.fail(new ResponseSyntaxException("the response may not be complete"));
 				return;
 			}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -239,6 +239,10 @@
 			fail(AttemptFailure.MALFORMED, "the body of the response does not match its framing");
 			return false;
 		}
+		if (source.isEndedByClose() && !isRequestFullySent()) {
+			fail(AttemptFailure.CONNECTION_LOST, "the connection ended before the request was sent completely");
+			return false;
+		}
 		return true;
 	}
 
