Refuse requests whose framing is malformed, and close their connections

The server library reads a length that is too large as none; the reader of the body failed on it and the connection stayed open. Evidence: MalformedRequestTests on, 4 of 11 fail (the length of 2^64 with 500 and the inner request executed; an unknown transfer encoding is waited for until the caller's timeout). Ruled out: two lengths, signed lengths and names with blanks, which the library refuses already.

RequestSyntax checks names, values and the framing of each request before anything else; a violation gets 400 and ends the connection, because what follows cannot be told from the body.

After: 11 of 11.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/CallerHandler.java
@@ -63,6 +63,9 @@
 			exchange.setPersistent(false);
 			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
 		}
+		if (!hasValidSyntax(exchange, requestId)) {
+			return;
+		}
 		try {
 			AcceptedRequest acceptedRequest = this.protocol.acceptHeaders(exchange, requestId);
 			receiveBody(exchange, acceptedRequest, requestId, deadline);
@@ -72,6 +75,20 @@
 		}
 	}
 
+	// What follows a malformed request on its connection cannot be told from its body.
+	private boolean hasValidSyntax(HttpServerExchange exchange, String requestId) {
+		try {
+			RequestSyntax.check(exchange);
+			return true;
+		}
+		catch (RouterException ex) {
+			exchange.setPersistent(false);
+			Connectors.terminateRequest(exchange);
+			refuse(exchange, requestId, ex);
+			return false;
+		}
+	}
+
 	private void receiveBody(HttpServerExchange exchange, AcceptedRequest acceptedRequest, String requestId,
 			BodyDeadline deadline) {
 		BodyBudget.Reservation reservation = this.services.bodyBudget().reserve();
