List the records again when changes do not arrive in time

A poll that was cut off was repeated as it was, until the store had discarded its history. Ruled out: the store's answers themselves (each call is answered), the backoff (below 0.5 s).

A poll for changes that failed is followed by a listing, which has each record once; a listing that failed by a poll for changes.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
@@ -205,6 +205,29 @@
 			assertThat(StoreWatcherTests.this.notifications, contains("lost", "regained"));
 		}
 
+		// Guards against a backlog of changes that takes longer than a poll may last, so
+		// that the state stayed old until the store had discarded its history.
+		@Test
+		void changesThatDoNotArriveInTimeAreReplacedByAListing() {
+			respondWith(() -> new StoreListing(List.of(), 7));
+			failWith(ErrorKind.STORE_UNAVAILABLE);
+			respondWith(() -> new StoreListing(List.of(record("b", 20)), 21));
+			respondWith(() -> new StoreChanges(List.of(), 21));
+			pollTimes(4);
+			assertThat(StoreWatcherTests.this.calls, contains("list", "changes after 7", "list", "changes after 21"));
+			assertThat(StoreWatcherTests.this.notifications, contains("lost", "regained", "listed b"));
+		}
+
+		@Test
+		void changesAreTriedAgainAfterAListingThatFailed() {
+			respondWith(() -> new StoreListing(List.of(), 7));
+			failWith(ErrorKind.STORE_UNAVAILABLE);
+			failWith(ErrorKind.STORE_UNAVAILABLE);
+			respondWith(() -> new StoreChanges(List.of(), 7));
+			pollTimes(4);
+			assertThat(StoreWatcherTests.this.calls, contains("list", "changes after 7", "list", "changes after 7"));
+		}
+
 		@Test
 		void nothingIsConfirmedBeforeTheFirstListing() {
 			failWith(ErrorKind.STORE_UNAVAILABLE);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
@@ -25,7 +25,9 @@
  * Polls a watched store and notifies listeners of its records. It lists the records once
  * and then long-polls for changes. Each poll is short and has its own timeout, because a
  * dead connection may never return an error. If the store no longer has the history that
- * the watcher needs, the records are listed again. Thread-safe.
+ * the watcher needs, the records are listed again. Changes that do not arrive in time may
+ * be too long, so a poll for changes that failed is followed by a listing, which has each
+ * record only once. Thread-safe.
  */
 public final class StoreWatcher implements Service {
 
@@ -53,6 +55,9 @@
 
 	private boolean listingValid;
 
+	/** Whether the last poll for changes failed and no listing was tried since. */
+	private boolean changesFailed;
+
 	private boolean storeLost;
 
 	private long storeLostAtNanos;
@@ -111,14 +116,17 @@
 	 */
 	public WatchResult poll() {
 		long sentAtNanos = this.staleness.nowNanos();
+		boolean polledChanges = this.listingValid && !this.changesFailed;
 		try {
-			if (!this.listingValid) {
+			if (!polledChanges) {
+				this.changesFailed = false;
 				readListing(sentAtNanos);
 				return WatchResult.UNCHANGED;
 			}
 			return readChanges(sentAtNanos) ? WatchResult.CHANGED : WatchResult.UNCHANGED;
 		}
 		catch (RouterException ex) {
+			this.changesFailed = polledChanges;
 			recordFailure(ex);
 			return (ex.kind() == ErrorKind.STORE_HISTORY_LOST) ? WatchResult.UNCHANGED : WatchResult.FAILED;
 		}
