Send a request again on a new connection after one was lost

A kept connection may have been dropped without notice. The second attempt of a safe request took a kept connection too, which can have been dropped as well. Ruled out: that no second attempt is made (its event is there); that a closed connection is taken from the pool (an end that has arrived is noticed, BlockingHttpClientTests). A denied retry budget gives the same answer and is meant.

After an attempt whose connection was lost, the next one opens a connection.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/http/BlockingHttpClientTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/http/BlockingHttpClientTests.java
@@ -98,7 +98,7 @@
 				}
 			}
 		}
-		catch (IOException ex) {
+		catch (IOException | InterruptedException ex) {
 			// The connection was closed by the client or by the response.
 		}
 	}
@@ -171,6 +171,32 @@
 		assertThat(this.connections.size(), equalTo(2));
 	}
 
+	// Guards against a call that is sent on a connection that the server has closed.
+	@Test
+	void aClosedConnectionIsUsed() throws Exception {
+		this.firstResponse = (output) -> {
+			write(output, WHOLE);
+			output.close();
+		};
+		assertThat(post(0).text(), equalTo("whole"));
+		TimeUnit.MILLISECONDS.sleep(200);
+		assertThat(post(0).text(), equalTo("whole"));
+	}
+
+	// Guards against bytes that arrive on an idle connection and are taken for the answer
+	// to the next call.
+	@Test
+	void anAnswerThatNobodyAskedForIsTakenForThatOfTheNextCall() throws Exception {
+		this.firstResponse = (output) -> {
+			write(output, WHOLE);
+			TimeUnit.MILLISECONDS.sleep(100);
+			write(output, WHOLE.replace("whole", "other"));
+		};
+		assertThat(post(0).text(), equalTo("whole"));
+		TimeUnit.MILLISECONDS.sleep(300);
+		assertThat(post(0).text(), equalTo("whole"));
+	}
+
 	@Test
 	void theReasonOfARejectionIsNotTold() {
 		this.firstResponse = (output) -> write(output, "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n");
@@ -246,8 +272,9 @@
 		 * Writes the response to a request.
 		 * @param output the connection to the client
 		 * @throws IOException if the connection was lost
+		 * @throws InterruptedException if the test is over
 		 */
-		void write(OutputStream output) throws IOException;
+		void write(OutputStream output) throws IOException, InterruptedException;
 
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
@@ -95,9 +95,9 @@
 		return this.upstreamAttempt != null && this.upstreamAttempt.hasStartedSending();
 	}
 
-	void start(UpstreamAttempt newAttempt) {
+	void start(UpstreamAttempt newAttempt, boolean onNewConnection) {
 		this.upstreamAttempt = newAttempt;
-		newAttempt.start();
+		newAttempt.start(onNewConnection);
 	}
 
 	/**
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -480,7 +480,9 @@
 				isResumable() ? this.progress.resumePoint() : ResumePoint.START, this.services.connectionPool(),
 				this.thread, attempt);
 		scheduleHedge();
-		attempt.start(upstreamAttempt);
+		// Other pooled connections may have been dropped as well.
+		boolean connectionLost = this.mayHaveRun && this.lastInconclusiveFailure == ErrorKind.UPSTREAM_CONNECTION_LOST;
+		attempt.start(upstreamAttempt, connectionLost);
 	}
 
 	private void scheduleHedge() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -92,10 +92,12 @@
 
 	/**
 	 * Connects to the upstream and sends the request.
+	 * @param onNewConnection whether to use no pooled connection
 	 */
-	public void start() {
-		this.connectionPool.acquire(this.upstream, this.request.maximumIdle(), this.request.timeouts().connect(),
-				this.thread, this::onConnected,
+	public void start(boolean onNewConnection) {
+		Duration maximumIdle = onNewConnection ? Duration.ZERO : this.request.maximumIdle();
+		this.connectionPool.acquire(this.upstream, maximumIdle, this.request.timeouts().connect(), this.thread,
+				this::onConnected,
 				(ex) -> fail(AttemptFailure.UNREACHABLE, "no connection to the upstream could be established"));
 	}
 
