Tell the generations of a restored store apart

Every part took the store's revision, and the numbers of leases, for something that only grows: the position of the watch, conditions of writes, the fencing token, the age of records.

A version holds generation and revision (StoreVersions), so what compared versions stays right and tokens grow across restores. StoreGenerations drops responses of an earlier generation. A position of another generation means a listing; records older than what is known of their upstream are ignored; the configuration is taken by its own version, and a copy with an older one confirms no keys. A restore ends every leadership, and nobody is a candidate for one lease. Windows that may have been settled before are not reported again.

--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/leadership/ElectionExplorer.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/leadership/ElectionExplorer.java
@@ -20,8 +20,9 @@
 /**
  * Runs several candidates against one store on simulated time, with one seed: calls and
  * responses that are delayed, lost or late, candidates that pause, die and resign, and
- * outages of the store that pause the leases or let them run on. Checks at each step that
- * at most one candidate may act, that no two share a token, and that tokens increase. Not
+ * outages of the store that pause the leases or let them run on, and, if the store has
+ * generations, restores of it from copies of any age. Checks at each step that at most
+ * one candidate may act, that no two share a token, and that tokens increase. Not
  * thread-safe.
  */
 final class ElectionExplorer {
@@ -61,16 +62,40 @@
 
 	private boolean storeDown;
 
+	private final boolean restores;
+
+	private final List<ExploredStore.Copy> copies = new ArrayList<>();
+
+	private int restoreCount;
+
 	private int nameCount;
 
 	ElectionExplorer(long seed, Duration earlyLeaseEnd) {
+		this(seed, new ExploredStore(LEASE, earlyLeaseEnd, false), false);
+	}
+
+	private ElectionExplorer(long seed, ExploredStore store, boolean restores) {
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-		this.store = new ExploredStore(LEASE, earlyLeaseEnd);
+		this.store = store;
+		this.restores = restores;
 		for (int index = 0; index < CANDIDATES; index++) {
 			this.candidates.add(new Candidate(millis(300)));
 		}
 	}
 
+	/**
+	 * Creates an explorer of a store that is restored from older copies.
+	 * @param seed the seed
+	 * @param versionsWithoutGeneration whether to plant the fault that versions do not
+	 * contain the generation
+	 * @return the explorer
+	 */
+	static ElectionExplorer withRestores(long seed, boolean versionsWithoutGeneration) {
+		ExploredStore store = new ExploredStore(LEASE, Duration.ZERO, versionsWithoutGeneration);
+		store.restore(store.copy());
+		return new ElectionExplorer(seed, store, true);
+	}
+
 	/**
 	 * Runs the disturbances and the calm after them.
 	 * @return what was violated, empty if nothing
@@ -78,6 +103,10 @@
 	List<String> run() {
 		at(millis(500), this::disturb);
 		at(millis(20), this::expire);
+		if (this.restores) {
+			at(millis(2_000), this::copyStore);
+			at(millis(8_000), this::restoreStore);
+		}
 		while (this.nowNanos < DISTURBED_NANOS + CALM_NANOS && !this.steps.isEmpty()) {
 			Step step = this.steps.remove();
 			this.nowNanos = step.atNanos();
@@ -99,6 +128,30 @@
 		return this.tokenOwners.size();
 	}
 
+	/**
+	 * Returns how often the store was restored.
+	 */
+	int restoreCount() {
+		return this.restoreCount;
+	}
+
+	private void copyStore() {
+		this.copies.add(this.store.copy());
+		at(millis(2_000), this::copyStore);
+	}
+
+	// The next restore may follow at once, in a takeover or while an answer is late.
+	private void restoreStore() {
+		if (isCalm() || this.copies.isEmpty()) {
+			return;
+		}
+		this.restoreCount++;
+		int age = Math.min(this.copies.size() - 1, this.random.nextInt(6));
+		this.store.restore(this.copies.get(this.copies.size() - 1 - age));
+		publish();
+		at(millis(this.random.nextBoolean() ? 1_000 : 12_000), this::restoreStore);
+	}
+
 	private long millis(long maximum) {
 		return Duration.ofMillis(1 + this.random.nextLong(maximum)).toNanos();
 	}
@@ -169,10 +222,13 @@
 	// Tells the candidates of the record, each after a time of its own.
 	private void publish() {
 		StoreRecord record = this.store.record();
-		long revision = this.store.revision();
+		long version = this.store.version();
+		long generation = this.store.generation();
 		for (Candidate candidate : this.candidates) {
 			at(millis(300), () -> candidate.whenAwake(() -> {
-				candidate.election.onRecord(record, revision, this.nowNanos);
+				if (candidate.accepts(generation)) {
+					candidate.election.onRecord(record, version, this.nowNanos);
+				}
 				candidate.proceed();
 			}));
 		}
@@ -249,6 +305,8 @@
 
 		private long pauseUntilNanos;
 
+		private long generation;
+
 		Candidate(long startDelayNanos) {
 			ElectionExplorer.this.nameCount++;
 			this.name = "candidate-" + ElectionExplorer.this.nameCount;
@@ -256,12 +314,25 @@
 					RandomSource.XO_RO_SHI_RO_128_PP.create(ElectionExplorer.this.random.nextLong()),
 					ElectionExplorer.this.nowNanos);
 			at(startDelayNanos, () -> {
-				this.election.onRecord(ElectionExplorer.this.store.record(), ElectionExplorer.this.store.revision(),
+				accepts(ElectionExplorer.this.store.generation());
+				this.election.onRecord(ElectionExplorer.this.store.record(), ElectionExplorer.this.store.version(),
 						ElectionExplorer.this.nowNanos);
 				proceed();
 			});
 		}
 
+		// Decides like the client of the store whether a response counts.
+		boolean accepts(long responseGeneration) {
+			if (responseGeneration < this.generation) {
+				return false;
+			}
+			if (responseGeneration > this.generation) {
+				this.generation = responseGeneration;
+				this.election.onStoreRestored(responseGeneration, ElectionExplorer.this.nowNanos);
+			}
+			return true;
+		}
+
 		private boolean isOwnRecord(StoreRecord record) {
 			return new String(record.value(), StandardCharsets.UTF_8).equals(this.name + ":" + this.election.leaseId());
 		}
@@ -300,7 +371,7 @@
 		private void call(ElectionAction action) {
 			this.callInFlight = true;
 			long sentAtNanos = ElectionExplorer.this.nowNanos;
-			Call call = new Call(action, sentAtNanos);
+			Call call = new Call(action, sentAtNanos, this.generation);
 			at(CALL_TIMEOUT_NANOS, () -> whenAwake(() -> finish(call, null)));
 			if (!happens(LOST_SHARE)) {
 				at(happens(LATE_SHARE) ? millis(6_000) : millis(60), () -> execute(call));
@@ -312,11 +383,26 @@
 				return;
 			}
 			Object response = ElectionExplorer.this.execute(call.action, this.name);
+			long responseGeneration = ElectionExplorer.this.store.generation();
 			if (!happens(LOST_SHARE)) {
-				at(millis(60), () -> whenAwake(() -> finish(call, response)));
+				at(millis(60), () -> whenAwake(() -> {
+					if (accepts(responseGeneration)) {
+						finish(call, isOfEarlierGeneration(call) ? ended(call.action) : response);
+					}
+				}));
 			}
 		}
 
+		// The client of the store takes a lease of an earlier generation for one that has
+		// ended.
+		private boolean isOfEarlierGeneration(Call call) {
+			return call.generation < this.generation && !(call.action instanceof ElectionAction.ObtainLease);
+		}
+
+		private static Object ended(ElectionAction action) {
+			return (action instanceof ElectionAction.RenewLease) ? false : new ConditionalWriteResult.LeaseEnded();
+		}
+
 		private void finish(Call call, @Nullable Object response) {
 			if (call.finished) {
 				return;
@@ -361,11 +447,14 @@
 
 		private final long sentAtNanos;
 
+		private final long generation;
+
 		private boolean finished;
 
-		Call(ElectionAction action, long sentAtNanos) {
+		Call(ElectionAction action, long sentAtNanos, long generation) {
 			this.action = action;
 			this.sentAtNanos = sentAtNanos;
+			this.generation = generation;
 		}
 
 	}
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/leadership/ExploredStore.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/leadership/ExploredStore.java
@@ -6,10 +6,12 @@
 
 import org.cyclamenstall.store.ConditionalWriteResult;
 import org.cyclamenstall.store.StoreRecord;
+import org.cyclamenstall.store.StoreVersions;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Store with one record and leases, on simulated time. Not thread-safe.
+ * Store with one record and leases, on simulated time, that can be restored from a copy.
+ * Not thread-safe.
  */
 final class ExploredStore {
 
@@ -32,13 +34,43 @@
 
 	private long pausedSinceNanos = -1;
 
-	ExploredStore(Duration lease, Duration earlyEnd) {
+	private long generation;
+
+	/** Whether versions do not contain the generation: a planted fault. */
+	private final boolean versionsWithoutGeneration;
+
+	ExploredStore(Duration lease, Duration earlyEnd, boolean versionsWithoutGeneration) {
+		this.versionsWithoutGeneration = versionsWithoutGeneration;
 		this.leaseNanos = lease.toNanos();
 		this.earlyEndNanos = earlyEnd.toNanos();
 	}
 
-	long revision() {
-		return this.revision;
+	long generation() {
+		return this.generation;
+	}
+
+	long version() {
+		return version(this.revision);
+	}
+
+	private long version(long number) {
+		return StoreVersions.of(this.versionsWithoutGeneration ? 0 : this.generation, number);
+	}
+
+	Copy copy() {
+		return new Copy(Map.copyOf(this.leaseEnds), this.lastLease, this.revision, this.record, this.recordLease);
+	}
+
+	void restore(Copy copy) {
+		this.generation++;
+		this.leaseEnds.clear();
+		this.leaseEnds.putAll(copy.leaseEnds());
+		this.lastLease = copy.lastLease();
+		this.revision = copy.revision();
+		this.recordLease = copy.recordLease();
+		StoreRecord copied = copy.record();
+		this.record = (copied != null)
+				? new StoreRecord(KEY, copied.value(), version(StoreVersions.revision(copied.version()))) : null;
 	}
 
 	@Nullable StoreRecord record() {
@@ -80,15 +112,16 @@
 	long obtainLease(long nowNanos) {
 		this.lastLease++;
 		this.leaseEnds.put(this.lastLease, nowNanos + this.leaseNanos - this.earlyEndNanos);
-		return this.lastLease;
+		return version(this.lastLease);
 	}
 
 	boolean renewLease(long lease, long nowNanos) {
-		return this.leaseEnds.replace(lease, nowNanos + this.leaseNanos - this.earlyEndNanos) != null;
+		return this.leaseEnds.replace(StoreVersions.revision(lease),
+				nowNanos + this.leaseNanos - this.earlyEndNanos) != null;
 	}
 
 	boolean endLease(long lease) {
-		this.leaseEnds.remove(lease);
+		this.leaseEnds.remove(StoreVersions.revision(lease));
 		return removeUnboundRecord();
 	}
 
@@ -96,13 +129,21 @@
 		if (this.record != null) {
 			return new ConditionalWriteResult.Conflict(this.record);
 		}
-		if (!this.leaseEnds.containsKey(lease)) {
+		if (!this.leaseEnds.containsKey(StoreVersions.revision(lease))) {
 			return new ConditionalWriteResult.LeaseEnded();
 		}
 		this.revision++;
-		this.record = new StoreRecord(KEY, value, this.revision);
-		this.recordLease = lease;
-		return new ConditionalWriteResult.Applied(this.revision);
+		this.record = new StoreRecord(KEY, value, version());
+		this.recordLease = StoreVersions.revision(lease);
+		return new ConditionalWriteResult.Applied(version());
+	}
+
+	/**
+	 * Copy of the store. Immutable.
+	 */
+	record Copy(Map<Long, Long> leaseEnds, long lastLease, long revision, @Nullable StoreRecord record,
+			long recordLease) {
+
 	}
 
 }
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/leadership/LeaderElectionTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/leadership/LeaderElectionTests.java
@@ -146,6 +146,40 @@
 			assertThat(violations, empty());
 		}
 
+		// Guards against two leaders, one in each generation of a store that was restored
+		// from an older copy, and against tokens that are given out again.
+		@Test
+		void atMostOneMayActInEachInterleavingWithRestores() {
+			List<String> violations = LongStream.range(0, SEEDS)
+				.boxed()
+				.flatMap((seed) -> ElectionExplorer.withRestores(seed, false)
+					.run()
+					.stream()
+					.limit(1)
+					.map((text) -> seed + ": " + text))
+				.toList();
+			assertThat(violations, empty());
+		}
+
+		@Test
+		void theExplorationFindsTokensWithoutTheGeneration() {
+			long found = LongStream.range(0, 50)
+				.filter((seed) -> !ElectionExplorer.withRestores(seed, true).run().isEmpty())
+				.count();
+			assertThat(found, greaterThan(25L));
+		}
+
+		@Test
+		void theExplorationReachesManyRestores() {
+			int restores = 0;
+			for (long seed = 0; seed < 50; seed++) {
+				ElectionExplorer explorer = ElectionExplorer.withRestores(seed, false);
+				explorer.run();
+				restores += explorer.restoreCount();
+			}
+			assertThat(restores, greaterThan(150));
+		}
+
 		@Test
 		void theExplorationFindsLeasesThatEndTooEarly() {
 			long found = LongStream.range(0, 50)
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/metering/WindowReporterTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/metering/WindowReporterTests.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +37,7 @@
 import org.cyclamenstall.store.StoreLease;
 import org.cyclamenstall.store.StoreListing;
 import org.cyclamenstall.store.StoreRecord;
+import org.cyclamenstall.store.StoreVersions;
 import org.cyclamenstall.store.WatchedStore;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -57,6 +60,8 @@
 
 	private static final WindowSchedule SCHEDULE = new WindowSchedule(Duration.ofSeconds(5), Duration.ofSeconds(10));
 
+	private static final Duration LEASE = Duration.ofSeconds(3);
+
 	private static final LoadEndpoint DAEMON = new LoadEndpoint(new InetSocketAddress("127.0.0.1", 1_000), "a");
 
 	/**
@@ -69,6 +74,9 @@
 
 		private static final int STEPS = 160;
 
+		/** Steps of half a second for which a leader may act without the store. */
+		private static final int LEASE_STEPS = 6;
+
 		private final ManualClock clock = new ManualClock();
 
 		private final UniformRandomProvider random;
@@ -87,6 +95,23 @@
 
 		private int leader;
 
+		private boolean restores;
+
+		/** Whether the reporters are not told of restores: a planted fault. */
+		private boolean restoresUnnoticed;
+
+		private int restoreCount;
+
+		/** Step at which a restore has ended the last leadership. */
+		private int nextLeaderAtStep = -1;
+
+		static Turns withRestores(long seed, boolean unnoticed) {
+			Turns turns = new Turns(seed, false);
+			turns.restores = true;
+			turns.restoresUnnoticed = unnoticed;
+			return turns;
+		}
+
 		Turns(long seed, boolean ignoresConditions) {
 			this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
 			this.store = new FakeStore(this.random, ignoresConditions);
@@ -101,9 +126,17 @@
 			for (int step = 0; step < STEPS; step++) {
 				this.clock.advance(Duration.ofMillis(500));
 				this.store.executeLateWrites();
-				if (this.random.nextDouble() < 0.06) {
+				this.store.copy();
+				if (step == this.nextLeaderAtStep) {
+					this.actors.forEach(Actor::learn);
+					change();
+				}
+				else if (step > this.nextLeaderAtStep && this.random.nextDouble() < 0.06) {
 					change();
 				}
+				if (this.restores && step < STEPS - 60 && this.random.nextDouble() < 0.04) {
+					restore(step);
+				}
 				this.actors.forEach(Actor::count);
 				this.actors.get(this.leader).reporter.run();
 				this.store.calm = step > STEPS - 40;
@@ -111,6 +144,14 @@
 			return this;
 		}
 
+		// The leader may act until its lease would have ended.
+		private void restore(int step) {
+			this.restoreCount++;
+			this.store.restore();
+			this.actors.stream().filter((actor) -> this.random.nextBoolean()).forEach(Actor::learn);
+			this.nextLeaderAtStep = step + LEASE_STEPS + this.random.nextInt(3);
+		}
+
 		private void change() {
 			this.actors.get(this.leader).token = 0;
 			this.leader = this.random.nextInt(LEADERS);
@@ -139,7 +180,7 @@
 	/**
 	 * Daemon that leads at times.
 	 */
-	private static final class Actor implements Leadership, ControlApi {
+	private static final class Actor implements Leadership, ControlApi, WatchedStore, LeasedStore {
 
 		private final Turns turns;
 
@@ -155,11 +196,13 @@
 
 		private long token;
 
+		private long generation;
+
 		Actor(Turns turns, int number) {
 			this.turns = turns;
 			this.number = number;
 			this.clock = new FleetClock(turns.clock::nanoTime, () -> turns.clock.nanoTime() / 1_000_000);
-			this.reporter = new WindowReporter(SCHEDULE, this.counts, this.clock, turns.store, turns.store, this, this,
+			this.reporter = new WindowReporter(SCHEDULE, this.counts, this.clock, this, this, this, this,
 					EventLog.NONE);
 		}
 
@@ -168,6 +211,53 @@
 			this.counts.merge(DAEMON, 1, SCHEDULE.windowAt(this.clock.millis()), Map.of("office", this.counted));
 		}
 
+		void learn() {
+			if (this.turns.store.generation != this.generation) {
+				this.generation = this.turns.store.generation;
+				this.token = 0;
+				if (!this.turns.restoresUnnoticed) {
+					this.reporter.onStoreRestored(LEASE);
+				}
+			}
+		}
+
+		@Override
+		public StoreListing list(String prefix, Duration timeout) {
+			StoreListing listing = this.turns.store.list();
+			learn();
+			return listing;
+		}
+
+		// Decides like the client of the store whether an expected version counts.
+		@Override
+		public ConditionalWriteResult write(ConditionalWrite write, Duration timeout) {
+			ConditionalWriteResult result = this.turns.store.write(write);
+			learn();
+			boolean expectationVoid = write.expectedVersion() != ConditionalWrite.ABSENT
+					&& StoreVersions.generation(write.expectedVersion()) != this.generation;
+			return expectationVoid ? new ConditionalWriteResult.Unknown("restored") : result;
+		}
+
+		@Override
+		public StoreChanges changesAfter(String prefix, long index, Duration wait, Duration timeout) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public StoreLease obtainLease(Duration duration, Duration timeout) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public boolean renewLease(long leaseId, Duration timeout) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public void endLease(long leaseId, Duration timeout) {
+			throw new UnsupportedOperationException();
+		}
+
 		@Override
 		public OptionalLong tokenFor(Duration callTime) {
 			return (this.token != 0) ? OptionalLong.of(this.token) : OptionalLong.empty();
@@ -198,10 +288,17 @@
 	/**
 	 * Store whose answers are lost and whose writes are late at times.
 	 */
-	private static final class FakeStore implements WatchedStore, LeasedStore {
+	private static final class FakeStore {
+
+		private static final int COPIES = 12;
 
 		private final Map<String, StoreRecord> records = new HashMap<>();
 
+		/** Records of the last steps, the newest first. */
+		private final Deque<Map<String, StoreRecord>> copies = new ArrayDeque<>();
+
+		private long generation;
+
 		private final List<ConditionalWrite> lateWrites = new ArrayList<>();
 
 		private final UniformRandomProvider random;
@@ -211,7 +308,7 @@
 
 		private boolean calm;
 
-		private long version;
+		private long revision;
 
 		FakeStore(UniformRandomProvider random, boolean ignoresConditions) {
 			this.random = random;
@@ -230,17 +327,40 @@
 
 		private ConditionalWriteResult execute(ConditionalWrite write) {
 			StoreRecord current = this.records.get(write.key());
-			long currentVersion = (current != null) ? current.version() : ConditionalWrite.ABSENT;
-			if (currentVersion != write.expectedVersion() && !this.ignoresConditions) {
+			long currentRevision = (current != null) ? StoreVersions.revision(current.version())
+					: ConditionalWrite.ABSENT;
+			if (currentRevision != StoreVersions.revision(write.expectedVersion()) && !this.ignoresConditions) {
 				return new ConditionalWriteResult.Conflict(current);
 			}
-			this.version++;
-			this.records.put(write.key(), new StoreRecord(write.key(), write.value(), this.version));
-			return new ConditionalWriteResult.Applied(this.version);
+			this.revision++;
+			StoreRecord record = new StoreRecord(write.key(), write.value(),
+					StoreVersions.of(this.generation, this.revision));
+			this.records.put(write.key(), record);
+			return new ConditionalWriteResult.Applied(record.version());
 		}
 
-		@Override
-		public ConditionalWriteResult write(ConditionalWrite write, Duration timeout) {
+		void copy() {
+			this.copies.push(Map.copyOf(this.records));
+			if (this.copies.size() > COPIES) {
+				this.copies.removeLast();
+			}
+		}
+
+		// Gives out the revisions since the copy again.
+		void restore() {
+			Map<String, StoreRecord> copy = List.copyOf(this.copies).get(this.random.nextInt(this.copies.size()));
+			this.generation++;
+			this.records.clear();
+			this.revision = 0;
+			copy.forEach((key, record) -> {
+				long copiedRevision = StoreVersions.revision(record.version());
+				this.revision = Math.max(this.revision, copiedRevision);
+				this.records.put(key,
+						new StoreRecord(key, record.value(), StoreVersions.of(this.generation, copiedRevision)));
+			});
+		}
+
+		ConditionalWriteResult write(ConditionalWrite write) {
 			if (this.calm) {
 				return execute(write);
 			}
@@ -253,32 +373,12 @@
 			return (chance < 0.3) ? new ConditionalWriteResult.Unknown("answer lost") : result;
 		}
 
-		@Override
-		public StoreListing list(String prefix, Duration timeout) {
+		StoreListing list() {
 			if (!this.calm && this.random.nextDouble() < 0.2) {
 				throw new RouterException(ErrorKind.STORE_UNAVAILABLE, "scripted");
 			}
-			return new StoreListing(List.copyOf(this.records.values()), this.version);
-		}
-
-		@Override
-		public StoreChanges changesAfter(String prefix, long index, Duration wait, Duration timeout) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public StoreLease obtainLease(Duration duration, Duration timeout) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public boolean renewLease(long leaseId, Duration timeout) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public void endLease(long leaseId, Duration timeout) {
-			throw new UnsupportedOperationException();
+			return new StoreListing(List.copyOf(this.records.values()),
+					StoreVersions.of(this.generation, this.revision));
 		}
 
 	}
@@ -333,6 +433,27 @@
 			assertThat(violations, empty());
 		}
 
+		// Guards against a second report of a window whose record was lost when the store
+		// was restored from an older copy.
+		@Test
+		void neverReportTwoTruthsWithRestores() {
+			List<String> violations = LongStream.range(0, SEEDS)
+				.boxed()
+				.flatMap((seed) -> Turns.withRestores(seed, false).run().violations.stream()
+					.limit(1)
+					.map((text) -> seed + ": " + text))
+				.toList();
+			assertThat(violations, empty());
+		}
+
+		@Test
+		void theExplorationFindsRestoresThatAreNotNoticed() {
+			long found = LongStream.range(0, 100)
+				.filter((seed) -> !Turns.withRestores(seed, true).run().violations.isEmpty())
+				.count();
+			assertThat(found, greaterThan(25L));
+		}
+
 		@Test
 		void missNoWindow() {
 			long windows = LongStream.range(0, 50)
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/StoreWatcherTests.java
@@ -20,6 +20,7 @@
 import org.cyclamenstall.store.StoreChanges;
 import org.cyclamenstall.store.StoreListing;
 import org.cyclamenstall.store.StoreRecord;
+import org.cyclamenstall.store.StoreVersions;
 import org.cyclamenstall.store.WatchedStore;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Nested;
@@ -48,6 +49,8 @@
 
 	private @Nullable Duration maximumPollTime;
 
+	private boolean confirmsState = true;
+
 	private final List<String> notifications = new ArrayList<>();
 
 	private final StoreStaleness staleness = new StoreStaleness(this.clock::nanoTime);
@@ -112,6 +115,28 @@
 
 	}
 
+	@Nested
+	class WhenTheStoreIsRestored {
+
+		@Test
+		void theListenersAreToldBeforeTheRecordsOfTheCopy() {
+			respondWith(() -> new StoreListing(List.of(), StoreVersions.of(1, 7)));
+			failWith(ErrorKind.STORE_HISTORY_LOST);
+			respondWith(() -> new StoreListing(List.of(record("a", StoreVersions.of(2, 5))), StoreVersions.of(2, 6)));
+			pollTimes(3);
+			assertThat(StoreWatcherTests.this.notifications, contains("restored", "listed a"));
+		}
+
+		@Test
+		void aListenerThatKnowsMoreThanTheCopyKeepsItFromBeingConfirmed() {
+			StoreWatcherTests.this.confirmsState = false;
+			respondWith(() -> new StoreListing(List.of(), StoreVersions.of(2, 6)));
+			pollTimes(1);
+			assertThat(StoreWatcherTests.this.staleness.isWithin(MAXIMUM_AGE), is(false));
+		}
+
+	}
+
 	@Nested
 	class WhenMemoryIsExhausted {
 
@@ -282,6 +307,16 @@
 				.add(((change.record() != null) ? "written " : "removed ") + change.key());
 		}
 
+		@Override
+		public boolean confirmsState() {
+			return StoreWatcherTests.this.confirmsState;
+		}
+
+		@Override
+		public void onStoreRestored() {
+			StoreWatcherTests.this.notifications.add("restored");
+		}
+
 		@Override
 		public void onStoreLost() {
 			StoreWatcherTests.this.notifications.add("lost");
--- a/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchedHostListTests.java
+++ b/org.cyclamenstall.test/src/test/java/org/cyclamenstall/test/watch/WatchedHostListTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.cyclamenstall.events.EventLog;
+import org.cyclamenstall.hosts.HostCodec;
 import org.cyclamenstall.hosts.HostState;
 import org.cyclamenstall.hosts.ListedHost;
 import org.cyclamenstall.internal.watch.WatchedHostList;
@@ -191,4 +192,96 @@
 
 	}
 
+	/**
+	 * Records hold the name of the upstream and the number of its writes.
+	 */
+	@Nested
+	class AfterARestoreOfTheStore {
+
+		private final WatchedHostList restoredHosts = new WatchedHostList("upstreams/", new AgeingCodec(),
+				WatchedHostListTests.this.clock, EventLog.NONE);
+
+		private void list(StoreRecord... records) {
+			this.restoredHosts.onListing(new StoreListing(List.of(records), 1));
+		}
+
+		private void restoreTo(StoreRecord... records) {
+			this.restoredHosts.onStoreRestored();
+			list(records);
+		}
+
+		private List<String> restoredNames() {
+			return this.restoredHosts.current().hosts(SERVICE).stream().map(ListedHost::host).toList();
+		}
+
+		private static StoreRecord written(String name, int writes, long revision) {
+			return new StoreRecord("upstreams/" + name, (name + " " + writes).getBytes(StandardCharsets.UTF_8),
+					revision);
+		}
+
+		@Test
+		void anUpstreamThatHasLeftComesBackWithTheCopy() {
+			list(written("one", 1, 1), written("two", 1, 2));
+			this.restoredHosts.onChange(new StoreChange("upstreams/one", 3, null));
+			restoreTo(written("one", 1, 10), written("two", 1, 11));
+			assertThat(restoredNames(), contains("two"));
+			list(written("one", 1, 10), written("two", 1, 11));
+			assertThat(restoredNames(), contains("two"));
+			this.restoredHosts.onChange(new StoreChange("upstreams/one", 12, written("one", 2, 12)));
+			assertThat(restoredNames(), containsInAnyOrder("one", "two"));
+		}
+
+		@Test
+		void anOlderRecordReplacesANewerOne() {
+			list(written("one", 5, 1));
+			restoreTo(written("one", 3, 10));
+			assertThat(this.restoredHosts.current().hosts(SERVICE).get(0).incarnation(), equalTo(5L));
+			this.restoredHosts.onChange(new StoreChange("upstreams/one", 11, written("one", 6, 11)));
+			assertThat(this.restoredHosts.current().hosts(SERVICE).get(0).incarnation(), equalTo(6L));
+		}
+
+		@Test
+		void anUpstreamThatTheCopyLacksIsGivenUpBeforeItCanRegisterAgain() {
+			list(written("one", 1, 1), written("two", 1, 2));
+			restoreTo(written("two", 1, 10));
+			assertThat(restoredNames(), containsInAnyOrder("one", "two"));
+			WatchedHostListTests.this.clock.advance(Duration.ofMillis(1_900));
+			this.restoredHosts.onPollCompleted();
+			this.restoredHosts.onChange(new StoreChange("upstreams/one", 11, written("one", 2, 11)));
+			WatchedHostListTests.this.clock.advance(Duration.ofMinutes(1));
+			this.restoredHosts.onPollCompleted();
+			assertThat(restoredNames(), containsInAnyOrder("one", "two"));
+		}
+
+		@Test
+		void anUpstreamThatDoesNotRegisterAgainStaysListed() {
+			list(written("one", 1, 1), written("two", 1, 2));
+			restoreTo(written("two", 1, 10));
+			WatchedHostListTests.this.clock.advance(Duration.ofMillis(2_300));
+			this.restoredHosts.onPollCompleted();
+			assertThat(restoredNames(), contains("two"));
+		}
+
+	}
+
+	private static final class AgeingCodec implements HostCodec {
+
+		@Override
+		public Optional<ListedHost> decode(StoreRecord record) {
+			String name = new String(record.value(), StandardCharsets.UTF_8).split(" ")[0];
+			return Optional
+				.of(new ListedHost(SERVICE, name, "127.0.0.1", 1, "domain", HostState.LIVE, 1, writes(record)));
+		}
+
+		@Override
+		public int compareAge(StoreRecord first, StoreRecord second) {
+			return Long.compare(writes(first), writes(second));
+		}
+
+		private static long writes(StoreRecord record) {
+			return Long.parseLong(new String(record.value(), StandardCharsets.UTF_8).split(" ")[1]);
+		}
+
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/events/Event.java
@@ -253,6 +253,20 @@
 
 	}
 
+	/**
+	 * The store was restored from an older copy, and its records were listed again.
+	 *
+	 * @param generation the generation of the store
+	 * @param previousGeneration the generation before
+	 * @param revision the revision of the listing
+	 * @param previousRevision the revision of the last change that was applied before
+	 * @param records the number of records that were listed
+	 */
+	record StoreRestored(long generation, long previousGeneration, long revision, long previousRevision,
+			int records) implements Event {
+
+	}
+
 	/**
 	 * An upstream lost the connection of a request before it responded, and parts of the
 	 * prompt are suspected.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/hosts/HostCodec.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/hosts/HostCodec.java
@@ -17,4 +17,15 @@
 	 */
 	Optional<ListedHost> decode(StoreRecord record);
 
+	/**
+	 * Compares when a host wrote two of its records, by what the host states in them.
+	 * @param first a record
+	 * @param second another record of the same host
+	 * @return a negative number if the first is the older one, a positive number if it is
+	 * the newer one, zero if they are equally old or one of them does not tell
+	 */
+	default int compareAge(StoreRecord first, StoreRecord second) {
+		return 0;
+	}
+
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Coordination.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/Coordination.java
@@ -68,6 +68,7 @@
 				+ settings.metering().address().getPort();
 		this.leadership = new LeadershipService(new LeadershipSettings(settings.leaseDuration(), collectorAddress),
 				host, incarnation, deployment.leasedStore(), this.clock, random, events);
+		deployment.generations().addListener(this.leadership::onStoreRestored);
 	}
 
 	StartedRequests startedRequests() {
@@ -94,6 +95,8 @@
 			WindowReporter reporter = new WindowReporter(this.settings.metering().schedule(), this.collectedCounts,
 					this.fleetClock, this.deployment.store(), this.deployment.leasedStore(), controlApi,
 					this.leadership, this.events);
+			this.deployment.generations()
+				.addListener((generation) -> reporter.onStoreRestored(this.settings.leaseDuration()));
 			services.register(ServiceNames.USAGE_REPORTS,
 					new PeriodicTask(ServiceNames.USAGE_REPORTS, INTERVAL, reporter::run));
 		}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDaemon.java
@@ -133,6 +133,14 @@
 		this.routes.addListener(this::applyConnectionLimits);
 		registerGauge("cyclamenstall_confirmed_age_seconds", "Time since the last successful read of the store.",
 				() -> this.staleness.ageNanos() / NANOS_PER_SECOND);
+		registerGauge("cyclamenstall_store_generation",
+				"Generation of the store, which rises when it was restored from a copy; 0 if it has none.",
+				deployment.generations()::current);
+		registerGauge("cyclamenstall_store_restores", "Restores of the store that were seen by this daemon.",
+				deployment.generations()::restoreCount);
+		registerGauge("cyclamenstall_store_void_responses",
+				"Responses of an earlier or unreadable generation of the store, which were ignored.",
+				deployment.generations()::voidCount);
 		registerGauge("cyclamenstall_thread_restarts", "Loops of essential threads that failed and were started again.",
 				EssentialThread::restartCount);
 		registerGauge("cyclamenstall_route_table_version", "Version of the active route table.",
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDeployment.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/daemon/RoutedDeployment.java
@@ -4,6 +4,7 @@
 import org.cyclamenstall.hosts.HostCodec;
 import org.cyclamenstall.internal.gateway.RequestHeaderCodec;
 import org.cyclamenstall.internal.gateway.ResponseWriter;
+import org.cyclamenstall.internal.store.StoreGenerations;
 import org.cyclamenstall.internal.upstream.UpstreamProtocol;
 import org.cyclamenstall.routes.RouteTableCodec;
 import org.cyclamenstall.store.LeasedStore;
@@ -16,6 +17,7 @@
  *
  * @param store the store of the deployment
  * @param leasedStore the same store, for writes
+ * @param generations the generations of the store, as its responses state them
  * @param controlApi the API of the platform, or {@code null} if it has none
  * @param watchedPrefix the prefix of the keys to watch
  * @param configurationKey the key of the configuration record
@@ -26,9 +28,9 @@
  * @param upstreamProtocol the protocol spoken with upstreams
  * @param responseWriter the writer of responses to callers
  */
-public record RoutedDeployment(WatchedStore store, LeasedStore leasedStore, @Nullable ControlApi controlApi,
-		String watchedPrefix, String configurationKey, RouteTableCodec routeTableCodec, String hostsPrefix,
-		HostCodec hostCodec, RequestHeaderCodec requestHeaderCodec, UpstreamProtocol upstreamProtocol,
-		ResponseWriter responseWriter) {
+public record RoutedDeployment(WatchedStore store, LeasedStore leasedStore, StoreGenerations generations,
+		@Nullable ControlApi controlApi, String watchedPrefix, String configurationKey, RouteTableCodec routeTableCodec,
+		String hostsPrefix, HostCodec hostCodec, RequestHeaderCodec requestHeaderCodec,
+		UpstreamProtocol upstreamProtocol, ResponseWriter responseWriter) {
 
 }
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/HttpResponse.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/HttpResponse.java
@@ -19,7 +19,13 @@
 
 	private static final byte[] EMPTY = new byte[0];
 
-	static HttpResponse failed(HttpResponseState state, String detail) {
+	/**
+	 * Creates the result of a call without a response.
+	 * @param state how far the call progressed
+	 * @param detail the cause of the failure
+	 * @return the result
+	 */
+	public static HttpResponse failed(HttpResponseState state, String detail) {
 		return new HttpResponse(state, 0, Map.of(), EMPTY, detail);
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/leadership/LeaderElection.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/leadership/LeaderElection.java
@@ -8,13 +8,17 @@
 import org.cyclamenstall.store.ConditionalWriteResult;
 import org.cyclamenstall.store.StoreLease;
 import org.cyclamenstall.store.StoreRecord;
+import org.cyclamenstall.store.StoreVersions;
 import org.jspecify.annotations.Nullable;
 
 /**
  * State machine of one candidate. A candidate obtains a lease and writes the record of
  * the leader, bound to the lease, if there is none. The version of the record is the
- * fencing token: the store increases it with each change, so no two leaders ever share
- * one. The caller carries out the actions and reports their outcomes.
+ * fencing token: it grows with each change of the store, also across restores
+ * ({@link StoreVersions}), so no two leaders ever share one. A restore ends the lease of
+ * each candidate, and for one lease duration there is no candidate, because a leader that
+ * has not learned of the restore may act until its lease would have ended. The caller
+ * carries out the actions and reports their outcomes.
  * <p>
  * Invariants: {@link #tokenUntil} returns a token only for a time that ends before the
  * store can end the lease, because the lease is counted from the time at which its last
@@ -71,6 +75,11 @@
 
 	private boolean resigned;
 
+	private long generation;
+
+	/** Time until which there is no candidate after a restore, valid in a generation. */
+	private long noCandidateUntilNanos;
+
 	/**
 	 * Creates a candidate.
 	 * @param isOwnRecord returns whether a record was written by this candidate with its
@@ -93,9 +102,13 @@
 	 * @return the action
 	 */
 	public ElectionAction next(long nowNanos) {
-		if (this.unusedLeaseId != 0) {
+		if (this.unusedLeaseId != 0 && StoreVersions.generation(this.unusedLeaseId) == 0) {
 			return new ElectionAction.EndLease(this.unusedLeaseId);
 		}
+		// The call may be executed after a restore, when another lease has the number.
+		// The
+		// lease ends by itself.
+		this.unusedLeaseId = 0;
 		if (this.leaseId == 0) {
 			return nextWithoutLease(nowNanos);
 		}
@@ -123,12 +136,36 @@
 		return new ElectionAction.Await(Math.min(MAXIMUM_WAIT_NANOS, nanos));
 	}
 
+	/**
+	 * Records that the store was restored from an older copy. The lease and the record of
+	 * the leader are void, whatever the copy contains.
+	 * @param newGeneration the generation of the store
+	 * @param nowNanos the time
+	 */
+	public void onStoreRestored(long newGeneration, long nowNanos) {
+		if (newGeneration <= this.generation) {
+			return;
+		}
+		this.generation = newGeneration;
+		this.leaseId = 0;
+		this.unusedLeaseId = 0;
+		this.token = 0;
+		this.recordKnown = false;
+		this.record = null;
+		this.noCandidateUntilNanos = nowNanos + this.leaseNanos;
+		this.candidateAtNanos = Math.max(this.candidateAtNanos,
+				this.noCandidateUntilNanos + this.random.nextLong(OTHERS_DELAY_NANOS));
+	}
+
 	/**
 	 * Records a lease that was obtained.
 	 * @param lease the lease
 	 * @param sentAtNanos the time at which the call was sent
 	 */
 	public void onLeaseObtained(StoreLease lease, long sentAtNanos) {
+		if (isVoid(lease.id()) || isNoCandidateAt(sentAtNanos)) {
+			return;
+		}
 		if (this.resigned) {
 			this.unusedLeaseId = lease.id();
 			return;
@@ -153,6 +190,10 @@
 	 * @param nowNanos the time
 	 */
 	public void onRecordWritten(ConditionalWriteResult result, long nowNanos) {
+		if (this.leaseId == 0) {
+			// The store was restored meanwhile.
+			return;
+		}
 		if (result instanceof ConditionalWriteResult.Applied applied) {
 			lead(applied.version());
 		}
@@ -232,7 +273,7 @@
 	 * @param nowNanos the time
 	 */
 	public void onRecord(@Nullable StoreRecord newRecord, long version, long nowNanos) {
-		if (this.recordKnown && version < this.recordVersion) {
+		if (isVoid(version) || (this.recordKnown && version < this.recordVersion)) {
 			return;
 		}
 		boolean wasAbsent = this.recordKnown && this.record == null;
@@ -247,6 +288,15 @@
 		}
 	}
 
+	// The response that tells of a restore may be that of a call that was sent before.
+	private boolean isNoCandidateAt(long nanos) {
+		return this.generation != 0 && nanos - this.noCandidateUntilNanos < 0;
+	}
+
+	private boolean isVoid(long version) {
+		return StoreVersions.generation(version) < this.generation;
+	}
+
 	private long candidateDelayNanos() {
 		return (this.standbyPosition >= 0) ? this.standbyPosition * STANDBY_DELAY_NANOS
 				: OTHERS_DELAY_NANOS + this.random.nextLong(OTHERS_DELAY_NANOS);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/leadership/LeadershipService.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/leadership/LeadershipService.java
@@ -177,6 +177,17 @@
 		}
 	}
 
+	/**
+	 * Gives up the leadership because the store was restored from an older copy.
+	 * @param generation the generation of the store
+	 */
+	public void onStoreRestored(long generation) {
+		update(() -> {
+			this.election.onStoreRestored(generation, this.clock.nanoTime());
+			this.knownLeader = null;
+		});
+	}
+
 	private void obtainLease() {
 		long sentAtNanos = this.clock.nanoTime();
 		try {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/WindowReporter.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/metering/WindowReporter.java
@@ -22,7 +22,10 @@
  * settled some time after its end, when the counts of all daemons have arrived; only what
  * is settled is reported, and it is reported until the platform has accepted it. A new
  * leader first waits until the daemons have sent it their counts, and reports the last
- * windows once more, because it does not know which were accepted. Not thread-safe.
+ * windows once more, because it does not know which were accepted. After a restore of the
+ * store, records of settled windows may be missing, and others may be written late; a
+ * window that a leader may have settled before is then not reported again, so that no
+ * other counts are. Not thread-safe, except that a restore can be reported on any thread.
  */
 public final class WindowReporter {
 
@@ -36,6 +39,9 @@
 
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
 
+	/** Maximum difference of the time of two daemons, with a reserve. */
+	private static final Duration CLOCK_MARGIN = Duration.ofSeconds(1);
+
 	private final SettledWindows settledWindows;
 
 	private final WindowSchedule schedule;
@@ -57,6 +63,11 @@
 
 	private long leadingSinceMillis;
 
+	/**
+	 * Time before which a leader may have settled windows whose records are missing.
+	 */
+	private volatile long mayBeSettledUntilMillis = Long.MIN_VALUE;
+
 	/**
 	 * Creates a reporter.
 	 * @param schedule the windows
@@ -79,6 +90,14 @@
 		this.events = events;
 	}
 
+	/**
+	 * Records that the store was restored from an older copy.
+	 * @param leaseDuration the time for which a leader may act that has not learned of it
+	 */
+	public void onStoreRestored(Duration leaseDuration) {
+		this.mayBeSettledUntilMillis = this.clock.millis() + leaseDuration.plus(CLOCK_MARGIN).toMillis();
+	}
+
 	/**
 	 * Settles and reports what is due. Blocks during calls to the store and the platform.
 	 */
@@ -107,7 +126,7 @@
 		try {
 			this.settledWindows.load();
 			for (long window = oldestWindow; isDue(window, nowMillis); window++) {
-				if (!this.acceptedWindows.contains(window)) {
+				if (!this.acceptedWindows.contains(window) && !mayHaveBeenSettledBeforeRestore(window)) {
 					reportWindow(window);
 				}
 			}
@@ -135,6 +154,11 @@
 		}
 	}
 
+	// Its record, if there is one, may come from a write that was executed late.
+	private boolean mayHaveBeenSettledBeforeRestore(long window) {
+		return this.schedule.endMillis(window) + SETTLE_DELAY.toMillis() <= this.mayBeSettledUntilMillis;
+	}
+
 	private void settle(long window) {
 		SettledWindow totals = new SettledWindow(window, this.counts.totals(window));
 		if (this.leadership.tokenFor(CALL_TIMEOUT).isPresent() && this.settledWindows.settle(totals)) {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/routes/WatchedRouteTable.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/routes/WatchedRouteTable.java
@@ -20,8 +20,9 @@
 /**
  * Provides the route table that was decoded from the newest valid configuration in a
  * watched store. Records with an older version and records that cannot be decoded never
- * replace the active configuration, and the removal of the configuration is ignored.
- * Thread-safe.
+ * replace the active configuration, and the removal of the configuration is ignored. So a
+ * store that was restored from an older copy never takes the configuration back; until
+ * the operator has written again, it does not confirm it either. Thread-safe.
  */
 public final class WatchedRouteTable implements RouteTableView, StoreListener {
 
@@ -37,6 +38,13 @@
 
 	private long storeVersion;
 
+	/**
+	 * Version of the last configuration that was read since the store was restored.
+	 */
+	private volatile long readVersion;
+
+	private volatile boolean restored;
+
 	/**
 	 * Creates a view that has no route table until a valid configuration is received.
 	 * @param key the store key of the configuration
@@ -59,6 +67,17 @@
 		this.listeners.add(listener);
 	}
 
+	@Override
+	public void onStoreRestored() {
+		this.readVersion = 0;
+		this.restored = true;
+	}
+
+	@Override
+	public boolean confirmsState() {
+		return !this.restored || this.readVersion >= activeVersion();
+	}
+
 	@Override
 	public void onListing(StoreListing listing) {
 		listing.records().forEach(this::apply);
@@ -84,6 +103,7 @@
 			reject(record, "cannot decode configuration: " + ex.getMessage());
 			return;
 		}
+		this.readVersion = newTable.version();
 		long previousVersion = activeVersion();
 		if (newTable.version() <= previousVersion) {
 			reject(record, "version is not newer than the active one: " + newTable.version());
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreListener.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreListener.java
@@ -39,6 +39,22 @@
 	default void onStoreRecovered() {
 	}
 
+	/**
+	 * Called when the store was restored from an older copy, before the records of the
+	 * copy are listed. Records of the copy may be older than what is known; what was
+	 * written since the copy is missing until it is written again.
+	 */
+	default void onStoreRestored() {
+	}
+
+	/**
+	 * Returns whether the records that were reported last may confirm the known state.
+	 * @return {@code false} while the store holds an older state, after a restore
+	 */
+	default boolean confirmsState() {
+		return true;
+	}
+
 	/**
 	 * Called after each poll, whether or not it succeeded or returned changes. Listeners
 	 * can use it to check for expired periods.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/StoreWatcher.java
@@ -18,6 +18,7 @@
 import org.cyclamenstall.store.StoreChange;
 import org.cyclamenstall.store.StoreChanges;
 import org.cyclamenstall.store.StoreListing;
+import org.cyclamenstall.store.StoreVersions;
 import org.cyclamenstall.store.WatchedStore;
 import org.jspecify.annotations.Nullable;
 
@@ -25,9 +26,9 @@
  * Polls a watched store and notifies listeners of its records. It lists the records once
  * and then long-polls for changes. Each poll is short and has its own timeout, because a
  * dead connection may never return an error. If the store no longer has the history that
- * the watcher needs, the records are listed again. Changes that do not arrive in time may
- * be too long, so a poll for changes that failed is followed by a listing, which has each
- * record only once. Thread-safe.
+ * the watcher needs, or was restored from an older copy, the records are listed again.
+ * Changes that do not arrive in time may be too long, so a poll for changes that failed
+ * is followed by a listing, which has each record only once. Thread-safe.
  */
 public final class StoreWatcher implements Service {
 
@@ -148,10 +149,26 @@
 	private void readListing(long sentAtNanos) {
 		StoreListing listing = this.store.list(this.prefix, LIST_TIMEOUT);
 		recordResponse();
+		if (this.index != 0 && StoreVersions.generation(listing.index()) != StoreVersions.generation(this.index)) {
+			recordRestore(listing);
+		}
 		this.listeners.forEach((listener) -> listener.onListing(listing));
 		this.index = listing.index();
 		this.listingValid = true;
-		this.staleness.recordConfirmation(sentAtNanos);
+		recordConfirmation(sentAtNanos);
+	}
+
+	private void recordRestore(StoreListing listing) {
+		this.events.record(new Event.StoreRestored(StoreVersions.generation(listing.index()),
+				StoreVersions.generation(this.index), StoreVersions.revision(listing.index()),
+				StoreVersions.revision(this.index), listing.records().size()));
+		this.listeners.forEach(StoreListener::onStoreRestored);
+	}
+
+	private void recordConfirmation(long currentAtNanos) {
+		if (this.listeners.stream().allMatch(StoreListener::confirmsState)) {
+			this.staleness.recordConfirmation(currentAtNanos);
+		}
 	}
 
 	private boolean readChanges(long sentAtNanos) {
@@ -166,7 +183,7 @@
 		}
 		this.index = Math.max(this.index, changes.index());
 		boolean waitedInFull = changes.changes().isEmpty() && elapsed.compareTo(wait) >= 0;
-		this.staleness.recordConfirmation(sentAtNanos + (waitedInFull ? confirmedWait(wait).toNanos() : 0));
+		recordConfirmation(sentAtNanos + (waitedInFull ? confirmedWait(wait).toNanos() : 0));
 		return !changes.changes().isEmpty();
 	}
 
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchedHostList.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/watch/WatchedHostList.java
@@ -33,7 +33,10 @@
  * the last list is kept. A record that disappears during an outage or shortly after it
  * may only have expired, so its upstream stays listed for a grace period in which it can
  * register again. Meanwhile it is listed as leaving, unless so many records of its
- * service disappeared that the outage is the likely cause. Thread-safe.
+ * service disappeared that the outage is the likely cause. The same holds after the store
+ * was restored from an older copy; records of the copy that are older than what is known
+ * of their upstreams, among them those that have left, are ignored until they are written
+ * again. Thread-safe.
  */
 public final class WatchedHostList implements HostList, StoreListener {
 
@@ -58,6 +61,12 @@
 
 	private final Set<String> pendingRemovals = new HashSet<>();
 
+	/** Last records of upstreams that have left. */
+	private final Map<String, StoreRecord> formerRecords = new FormerRecords();
+
+	/** Versions of the records that are ignored because a restore brought them back. */
+	private final Map<String, Long> ignoredVersions = new HashMap<>();
+
 	private final String prefix;
 
 	private final HostCodec codec;
@@ -76,6 +85,8 @@
 
 	private long recoveredAtNanos;
 
+	private boolean restored;
+
 	/**
 	 * Creates an empty list.
 	 * @param prefix the key prefix of the upstream records
@@ -120,19 +131,43 @@
 		for (StoreRecord record : listing.records()) {
 			if (record.key().startsWith(this.prefix)) {
 				listedKeys.add(record.key());
-				changed |= applyRecord(record);
+				changed |= !isIgnored(record) && applyRecord(record);
 			}
 		}
+		this.restored = false;
+		this.ignoredVersions.keySet().retainAll(listedKeys);
 		for (String key : List.copyOf(this.hosts.keySet())) {
 			if (!listedKeys.contains(key)) {
 				changed |= applyRemoval(key);
 			}
 		}
-		this.records.keySet().retainAll(listedKeys);
+		for (String key : List.copyOf(this.records.keySet())) {
+			if (!listedKeys.contains(key)) {
+				forget(key);
+			}
+		}
 		publishIfChanged(changed);
 		this.listed = true;
 	}
 
+	// After a restore, what a host states of itself tells which of its records is newer.
+	private boolean isIgnored(StoreRecord record) {
+		Long ignoredVersion = this.ignoredVersions.get(record.key());
+		if (ignoredVersion != null && ignoredVersion == record.version()) {
+			return true;
+		}
+		StoreRecord known = this.records.get(record.key());
+		StoreRecord former = this.formerRecords.get(record.key());
+		boolean older = (known != null) ? this.codec.compareAge(record, known) < 0
+				: former != null && this.codec.compareAge(record, former) <= 0;
+		if (!this.restored || !older) {
+			return false;
+		}
+		logger.info("Ignoring the record {} of an older copy of the store", record.key());
+		this.ignoredVersions.put(record.key(), record.version());
+		return true;
+	}
+
 	@Override
 	public synchronized void onChange(StoreChange change) {
 		if (!change.key().startsWith(this.prefix)) {
@@ -144,10 +179,11 @@
 		}
 		StoreRecord record = change.record();
 		if (record != null) {
+			this.ignoredVersions.remove(record.key());
 			publishIfChanged(applyRecord(record));
 			return;
 		}
-		this.records.remove(change.key());
+		forget(change.key());
 		publishIfChanged(applyRemoval(change.key()));
 	}
 
@@ -163,6 +199,12 @@
 		this.recoveredAtNanos = this.clock.nanoTime();
 	}
 
+	@Override
+	public synchronized void onStoreRestored() {
+		onStoreRecovered();
+		this.restored = true;
+	}
+
 	@Override
 	public synchronized @Nullable Duration maximumPollTime() {
 		if (!this.inGracePeriod || this.storeUnavailable || this.pendingRemovals.isEmpty()) {
@@ -189,8 +231,16 @@
 		return REGISTRATION_GRACE_PERIOD.toNanos() - (this.clock.nanoTime() - this.recoveredAtNanos);
 	}
 
+	private void forget(String key) {
+		StoreRecord record = this.records.remove(key);
+		if (record != null) {
+			this.formerRecords.put(key, record);
+		}
+	}
+
 	private boolean applyRecord(StoreRecord record) {
 		this.records.put(record.key(), record);
+		this.formerRecords.remove(record.key());
 		boolean wasPending = this.pendingRemovals.remove(record.key());
 		Optional<ListedHost> host = this.codec.decode(record);
 		if (host.isEmpty()) {
@@ -262,4 +312,18 @@
 		}
 	}
 
+	/**
+	 * The newest records of upstreams that have left, up to a maximum number.
+	 */
+	private static final class FormerRecords extends LinkedHashMap<String, StoreRecord> {
+
+		private static final int MAXIMUM_RECORDS = 4_096;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, StoreRecord> eldest) {
+			return size() > MAXIMUM_RECORDS;
+		}
+
+	}
+
 }
