Keep no response in memory that its caller has read, and limit the others

The server library keeps the buffer of the last write of each connection until the next response on it, and a body was written as one buffer. Besides, the budget counted a response only until it was read from its upstream.

The reservation of a response is released when its exchange ends; the first parts of responses are limited together.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/AttemptExecution.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.cyclamenstall.internal.http.BodyBudget;
 import org.cyclamenstall.internal.upstream.AttemptFailure;
 import org.cyclamenstall.internal.upstream.AttemptListener;
 import org.cyclamenstall.internal.upstream.BufferedResponse;
@@ -155,8 +156,9 @@
 	}
 
 	@Override
-	public void onResponse(UpstreamAttempt source, BufferedResponse response) {
+	public void onResponse(UpstreamAttempt source, BufferedResponse response, BodyBudget.Reservation reservation) {
 		this.guard.run(() -> this.request.onResponse(this, response));
+		this.request.keepUntilWritten(reservation);
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/ChatResponseWriter.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/ChatResponseWriter.java
@@ -1,6 +1,5 @@
 package org.cyclamenstall.internal.gateway;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Set;
@@ -64,7 +63,7 @@
 		if (upstream != null) {
 			exchange.getResponseHeaders().put(UPSTREAM, upstream);
 		}
-		exchange.getResponseSender().send(ByteBuffer.wrap(response.body()));
+		CallerBodyWriter.write(exchange, response.body());
 	}
 
 	@Override
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/RequestExecution.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange;
 import org.cyclamenstall.claims.ClaimDecision;
 import org.cyclamenstall.errors.ErrorKind;
+import org.cyclamenstall.internal.http.BodyBudget;
 import org.cyclamenstall.internal.upstream.AttemptFailure;
 import org.cyclamenstall.internal.upstream.BufferedResponse;
 import org.cyclamenstall.internal.upstream.ResponseHead;
@@ -273,6 +274,14 @@
 		sendResponse(upstream, response);
 	}
 
+	/**
+	 * Releases the memory of a response when the caller has read it, or is gone.
+	 * @param reservation the reservation of the response
+	 */
+	void keepUntilWritten(BodyBudget.Reservation reservation) {
+		this.relay.keepUntilWritten(reservation);
+	}
+
 	private boolean isRetriedErrorResponse(BufferedResponse response) {
 		return this.request.upstreamRequest().retriesErrorResponses() && FailureStatuses.isFailure(response.status());
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/ResponseRelay.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/gateway/ResponseRelay.java
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpServerExchange;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cyclamenstall.internal.http.BodyBudget;
 import org.cyclamenstall.internal.upstream.BufferedResponse;
 import org.cyclamenstall.internal.upstream.ResponseHead;
 import org.cyclamenstall.internal.upstream.StreamEvent;
@@ -82,6 +83,41 @@
 		this.writer.writeResponse(this.exchange, this.requestId, upstream, response);
 	}
 
+	/**
+	 * Releases the memory of a buffered response when the exchange ends, and ends it if
+	 * the caller stops reading the response.
+	 * @param reservation the reservation of the response
+	 */
+	void keepUntilWritten(BodyBudget.Reservation reservation) {
+		if (this.exchange.isComplete() || !this.exchange.getConnection().isOpen()) {
+			reservation.release();
+			return;
+		}
+		this.exchange.addExchangeCompleteListener((completedExchange, next) -> {
+			reservation.release();
+			stopStallTimer();
+			next.proceed();
+		});
+		if (this.exchange.isResponseStarted() && !isStreaming()) {
+			scheduleStallCheck(this.exchange.getResponseBytesSent());
+		}
+	}
+
+	private void scheduleStallCheck(long bytesSent) {
+		this.stallTimer = this.exchange.getIoThread()
+			.executeAfter(() -> checkProgress(bytesSent), MAXIMUM_CALLER_STALL.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void checkProgress(long bytesSentBefore) {
+		long bytesSent = this.exchange.getResponseBytesSent();
+		if (bytesSent == bytesSentBefore) {
+			onCallerStalled();
+		}
+		else {
+			scheduleStallCheck(bytesSent);
+		}
+	}
+
 	void writeError(ErrorReport report) {
 		if (this.stream != null) {
 			this.stream.fail(this.writer.errorEvent(this.requestId, report));
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BodyBudget.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/BodyBudget.java
@@ -4,22 +4,23 @@
 
 /**
  * Limits the memory that the bodies of all requests, or of all responses, take together.
- * Each body has a small part for free, so that long bodies do not take the short ones of
- * others with them; what a body needs beyond that is reserved.
+ * The first part of each body is reserved apart from the rest, so that long bodies do not
+ * take the short ones of others with them.
  * <p>
- * Invariant: the reserved bytes never exceed the limit. Thread-safe.
+ * Invariant: the reserved bytes never exceed the limits. Thread-safe.
  */
 public final class BodyBudget {
 
-	/** Bytes of each response that need no reservation. */
-	private static final int FREE_RESPONSE_BYTES = 65_536;
+	/** Size of the first part of a response. */
+	private static final int FIRST_RESPONSE_BYTES = 65_536;
 
-	/** Bytes of each request that need no reservation. */
-	private static final int FREE_REQUEST_BYTES = 16_384;
+	/** Size of the first part of a request. */
+	private static final int FIRST_REQUEST_BYTES = 16_384;
 
 	/**
-	 * Share of the heap that the bodies of responses may reserve. A body takes up to
-	 * three times its size while its buffer grows and when it is copied at its end.
+	 * Share of the heap that the bodies of responses may reserve beyond their first
+	 * parts. A body takes up to three times its size while its buffer grows and when it
+	 * is copied at its end.
 	 */
 	private static final int RESPONSE_HEAP_DIVISOR = 8;
 
@@ -29,26 +30,38 @@
 	 */
 	private static final int REQUEST_HEAP_DIVISOR = 5;
 
+	/**
+	 * Share of the heap that the first parts of responses may reserve. They are kept
+	 * until the caller has read them.
+	 */
+	private static final int FIRST_RESPONSE_HEAP_DIVISOR = 5;
+
 	private final AtomicLong remainingBytes;
 
-	private final int freeBytes;
+	private final AtomicLong remainingFirstBytes;
+
+	private final int firstBytes;
 
 	/**
 	 * Creates a budget.
-	 * @param limitBytes the number of bytes that may be reserved
-	 * @param freeBytes the number of bytes of each body that need no reservation
+	 * @param limitBytes the number of bytes that may be reserved beyond the first parts
+	 * @param firstLimitBytes the number of bytes that the first parts may reserve
+	 * @param firstBytes the size of the first part of each body
 	 */
-	public BodyBudget(long limitBytes, int freeBytes) {
+	public BodyBudget(long limitBytes, long firstLimitBytes, int firstBytes) {
 		this.remainingBytes = new AtomicLong(limitBytes);
-		this.freeBytes = freeBytes;
+		this.remainingFirstBytes = new AtomicLong(firstLimitBytes);
+		this.firstBytes = firstBytes;
 	}
 
 	/**
-	 * Creates a budget for the requests in the heap of this process.
+	 * Creates a budget for the requests in the heap of this process. Their first parts
+	 * are limited only by the number of connections.
 	 * @return the budget
 	 */
 	public static BodyBudget ofRequests() {
-		return new BodyBudget(Runtime.getRuntime().maxMemory() / REQUEST_HEAP_DIVISOR, FREE_REQUEST_BYTES);
+		return new BodyBudget(Runtime.getRuntime().maxMemory() / REQUEST_HEAP_DIVISOR, Long.MAX_VALUE,
+				FIRST_REQUEST_BYTES);
 	}
 
 	/**
@@ -56,11 +69,13 @@
 	 * @return the budget
 	 */
 	public static BodyBudget ofResponses() {
-		return new BodyBudget(Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR, FREE_RESPONSE_BYTES);
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		return new BodyBudget(heapBytes / RESPONSE_HEAP_DIVISOR, heapBytes / FIRST_RESPONSE_HEAP_DIVISOR,
+				FIRST_RESPONSE_BYTES);
 	}
 
 	/**
-	 * Returns the number of bytes that can still be reserved.
+	 * Returns the number of bytes that can still be reserved beyond the first parts.
 	 * @return the number
 	 */
 	public long remainingBytes() {
@@ -75,13 +90,13 @@
 		return new Reservation();
 	}
 
-	private boolean tryTake(long bytes) {
-		long remaining = this.remainingBytes.get();
+	private static boolean tryTake(AtomicLong counter, long bytes) {
+		long remaining = counter.get();
 		while (remaining >= bytes) {
-			if (this.remainingBytes.compareAndSet(remaining, remaining - bytes)) {
+			if (counter.compareAndSet(remaining, remaining - bytes)) {
 				return true;
 			}
-			remaining = this.remainingBytes.get();
+			remaining = counter.get();
 		}
 		return false;
 	}
@@ -93,23 +108,31 @@
 
 		private long reservedBytes;
 
+		private long reservedFirstBytes;
+
 		private Reservation() {
 		}
 
 		/**
 		 * Grows the reservation to the size of the body.
 		 * @param bodyBytes the size of the body in bytes
-		 * @return {@code false} if the budget is exhausted; the reservation is unchanged
+		 * @return {@code false} if the budget is exhausted; the body must not grow then
 		 */
 		public boolean tryGrow(long bodyBytes) {
-			long missingBytes = bodyBytes - BodyBudget.this.freeBytes - this.reservedBytes;
-			if (missingBytes <= 0) {
-				return true;
+			long missingFirstBytes = Math.min(bodyBytes, BodyBudget.this.firstBytes) - this.reservedFirstBytes;
+			if (missingFirstBytes > 0) {
+				if (!tryTake(BodyBudget.this.remainingFirstBytes, missingFirstBytes)) {
+					return false;
+				}
+				this.reservedFirstBytes += missingFirstBytes;
 			}
-			if (!tryTake(missingBytes)) {
-				return false;
+			long missingBytes = bodyBytes - BodyBudget.this.firstBytes - this.reservedBytes;
+			if (missingBytes > 0) {
+				if (!tryTake(BodyBudget.this.remainingBytes, missingBytes)) {
+					return false;
+				}
+				this.reservedBytes += missingBytes;
 			}
-			this.reservedBytes += missingBytes;
 			return true;
 		}
 
@@ -118,7 +141,9 @@
 		 */
 		public void release() {
 			BodyBudget.this.remainingBytes.addAndGet(this.reservedBytes);
+			BodyBudget.this.remainingFirstBytes.addAndGet(this.reservedFirstBytes);
 			this.reservedBytes = 0;
+			this.reservedFirstBytes = 0;
 		}
 
 	}
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptListener.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/AttemptListener.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.cyclamenstall.internal.http.BodyBudget;
+
 /**
  * Receives the progress of an attempt. All methods are called on the I/O thread of the
  * attempt. No call follows after {@link #onResponse}, {@link #onStreamEnded},
@@ -40,8 +42,10 @@
 	 * Called when a buffered response is complete and validated.
 	 * @param attempt the attempt
 	 * @param response the response
+	 * @param reservation the reservation of its memory, to be released when the response
+	 * is not kept any more
 	 */
-	void onResponse(UpstreamAttempt attempt, BufferedResponse response);
+	void onResponse(UpstreamAttempt attempt, BufferedResponse response, BodyBudget.Reservation reservation);
 
 	/**
 	 * Called when the upstream sent no data for the timeout.
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/BufferedResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/BufferedResponseReader.java
@@ -9,7 +9,8 @@
 /**
  * Buffers a response up to a maximum size, and within the {@link BodyBudget} of all
  * responses. A response is treated as truncated if neither its headers nor its status nor
- * the protocol defines where it ends. Used on one I/O thread.
+ * the protocol defines where it ends. The reservation of a complete response is passed on
+ * with it. Used on one I/O thread.
  */
 final class BufferedResponseReader extends ResponseReader {
 
@@ -29,6 +30,8 @@
 
 	private final BodyBudget.Reservation reservation;
 
+	private boolean passedOn;
+
 	BufferedResponseReader(UpstreamAttempt attempt, ResponseHead responseHead, AttemptContext context,
 			UpstreamProtocol protocol, BodyBudget budget) {
 		super(attempt);
@@ -55,7 +58,9 @@
 
 	@Override
 	protected void onAttemptEnded() {
-		this.reservation.release();
+		if (!this.passedOn) {
+			this.reservation.release();
+		}
 	}
 
 	@Override
@@ -65,13 +70,16 @@
 					"the response may be truncated: it has no length and is not chunked");
 			return;
 		}
+		BufferedResponse response;
 		try {
-			attempt().succeed(this.protocol.validate(this.context, this.responseHead, this.body.toByteArray()),
-					isFullyRead());
+			response = this.protocol.validate(this.context, this.responseHead, this.body.toByteArray());
 		}
 		catch (InvalidResponseException ex) {
 			attempt().fail(ex.failure(), ex.getMessage());
+			return;
 		}
+		this.passedOn = true;
+		attempt().succeed(response, this.reservation, isFullyRead());
 	}
 
 	private boolean isEndDefined() {
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import org.cyclamenstall.hosts.ListedHost;
+import org.cyclamenstall.internal.http.BodyBudget;
 import org.cyclamenstall.internal.http.ClientConnections;
 import org.cyclamenstall.internal.http.ResponseSyntaxException;
 import org.cyclamenstall.internal.http.VerifiedResponseSource;
@@ -278,12 +279,16 @@
 	 * Ends the attempt with a buffered response, and pools its connection if both the
 	 * request and the response were transferred completely.
 	 * @param response the response
+	 * @param reservation the reservation of its memory
 	 * @param fullyRead whether the response body was read to its end
 	 */
-	void succeed(BufferedResponse response, boolean fullyRead) {
+	void succeed(BufferedResponse response, BodyBudget.Reservation reservation, boolean fullyRead) {
 		if (end()) {
 			releaseConnection(fullyRead);
-			this.listener.onResponse(this, response);
+			this.listener.onResponse(this, response, reservation);
+		}
+		else {
+			reservation.release();
 		}
 	}
 
