End an attempt when a part of its response cannot be processed

An error while a part of a response was processed (there an OutOfMemoryError) went to the I/O framework, which notified the reader again; the bytes of that part were lost, and the rest was passed on as the whole response.

The attempt fails before the error is passed on, and only processed bytes count toward the length that its framing demands.

--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseReader.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/ResponseReader.java
@@ -127,11 +127,22 @@
 				endChecked();
 				return;
 			}
-			this.bodyBytes += count;
 			this.attempt.onProgress();
 			this.buffer.flip();
+			processGuarded();
+			this.bodyBytes += count;
+		}
+	}
+
+	// Bytes that were not processed are lost, so the response must not go on after them.
+	private void processGuarded() {
+		try {
 			processBytes(this.buffer);
 		}
+		catch (RuntimeException | Error ex) {
+			this.attempt.fail(AttemptFailure.CONNECTION_LOST, "the response could not be processed");
+			throw ex;
+		}
 	}
 
 }
