--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/HttpSyntax.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/HttpSyntax.java
@@ -6,7 +6,11 @@
  */
 public final class HttpSyntax {
 
-	private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+	private static final String TOKEN_CHARACTERS = "!#$%&'*+-.^_`|~0123456789"
+			+ "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
+
+	/** States for each ASCII character whether it may be part of a token. */
+	private static final boolean[] TOKEN_TABLE = tokenTable();
 
 	private static final int DELETE = 0x7f;
 
@@ -22,8 +26,7 @@
 	 * @return {@code true} for letters, digits and some symbols
 	 */
 	static boolean isTokenCharacter(int character) {
-		return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') || isDigit(character)
-				|| TOKEN_SYMBOLS.indexOf(character) >= 0;
+		return character >= 0 && character < TOKEN_TABLE.length && TOKEN_TABLE[character];
 	}
 
 	/**
@@ -63,6 +66,12 @@
 		return true;
 	}
 
+	private static boolean[] tokenTable() {
+		boolean[] table = new boolean[DELETE];
+		TOKEN_CHARACTERS.chars().forEach((character) -> table[character] = true);
+		return table;
+	}
+
 	/**
 	 * Returns whether a character is a decimal digit.
 	 * @param character the character
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/LineBuffer.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/LineBuffer.java
@@ -1,5 +1,6 @@
 package org.cyclamenstall.internal.http;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
@@ -17,22 +18,36 @@
 
 	private boolean endStarted;
 
+	private boolean complete;
+
 	/**
-	 * Adds a byte.
-	 * @param next the byte
-	 * @return {@code true} if the line is complete
-	 * @throws ResponseSyntaxException if the byte is not allowed in a line
+	 * Adds bytes up to the end of the line.
+	 * @param buffer contains the bytes; its position and limit are not used
+	 * @param start the index of the first byte
+	 * @param end the index after the last byte
+	 * @return the index after the last byte that was added
+	 * @throws ResponseSyntaxException if a byte is not allowed in a line
 	 */
-	boolean append(byte next) throws ResponseSyntaxException {
+	int append(ByteBuffer buffer, int start, int end) throws ResponseSyntaxException {
+		int index = start;
+		while (index < end && !this.complete) {
+			append(buffer.get(index));
+			index++;
+		}
+		return index;
+	}
+
+	private void append(byte next) throws ResponseSyntaxException {
 		if (this.endStarted) {
 			if (next != '\n') {
 				throw new ResponseSyntaxException("a carriage return is not followed by a line feed");
 			}
-			return true;
+			this.complete = true;
+			return;
 		}
 		if (next == '\r') {
 			this.endStarted = true;
-			return false;
+			return;
 		}
 		if (!HttpSyntax.isTextCharacter(Byte.toUnsignedInt(next))) {
 			throw new ResponseSyntaxException("a line contains a control byte");
@@ -41,7 +56,14 @@
 			this.bytes = Arrays.copyOf(this.bytes, 2 * this.length);
 		}
 		this.bytes[this.length++] = next;
-		return false;
+	}
+
+	/**
+	 * Returns whether the end of the line was added.
+	 * @return {@code true} until the buffer is cleared
+	 */
+	boolean isComplete() {
+		return this.complete;
 	}
 
 	/**
@@ -50,6 +72,7 @@
 	void clear() {
 		this.length = 0;
 		this.endStarted = false;
+		this.complete = false;
 		if (this.bytes.length > INITIAL_BYTES) {
 			this.bytes = new byte[INITIAL_BYTES];
 		}
@@ -63,14 +86,6 @@
 		return this.length;
 	}
 
-	/**
-	 * Returns whether nothing was added, not even a part of the end.
-	 * @return {@code true} before the first byte
-	 */
-	boolean isUntouched() {
-		return this.length == 0 && !this.endStarted;
-	}
-
 	/**
 	 * Returns a byte.
 	 * @param index its position
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/ResponseFraming.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/http/ResponseFraming.java
@@ -163,8 +163,7 @@
 				return end;
 			}
 			default -> {
-				acceptLineByte(buffer.get(index));
-				return index + 1;
+				return acceptLineBytes(buffer, index, end);
 			}
 		}
 	}
@@ -179,16 +178,17 @@
 		return index + count;
 	}
 
-	private void acceptLineByte(byte next) throws ResponseSyntaxException {
-		boolean complete = this.line.append(next);
+	private int acceptLineBytes(ByteBuffer buffer, int start, int end) throws ResponseSyntaxException {
+		int index = this.line.append(buffer, start, end);
 		if (this.overheadBytes + this.line.length() > MAXIMUM_OVERHEAD_BYTES) {
 			throw new ResponseSyntaxException(
 					"the headers and trailers of a response exceed " + MAXIMUM_OVERHEAD_BYTES + " bytes");
 		}
-		if (complete) {
+		if (this.line.isComplete()) {
 			acceptLine();
 			this.line.clear();
 		}
+		return index;
 	}
 
 	private void acceptLine() throws ResponseSyntaxException {
