--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/leadership/LeaderElection.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/leadership/LeaderElection.java
@@ -105,9 +105,8 @@
 		if (this.unusedLeaseId != 0 && StoreVersions.generation(this.unusedLeaseId) == 0) {
 			return new ElectionAction.EndLease(this.unusedLeaseId);
 		}
-		// The call may be executed after a restore, when another lease has the number.
-		// The
-		// lease ends by itself.
+		// After a restore, the call could end another lease with the same number. This
+		// one ends by itself.
 		this.unusedLeaseId = 0;
 		if (this.leaseId == 0) {
 			return nextWithoutLease(nowNanos);
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/store/StoreGenerations.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/store/StoreGenerations.java
@@ -89,9 +89,8 @@
 		return true;
 	}
 
-	// A store that states no generation, or an unreadable one, counts as one of
-	// generation
-	// zero: its responses are used until a generation was seen.
+	// A store that states no generation, or an unreadable one, counts as one of zero: its
+	// responses are used until a generation was seen.
 	private static long parse(@Nullable String text) {
 		if (text == null) {
 			return 0;
--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/upstream/UpstreamAttempt.java
@@ -176,8 +176,7 @@
 		int status = exchange.getResponse().getResponseCode();
 		if (status < FIRST_FINAL_STATUS) {
 			// The client ends its exchange with an interim response, so the final one
-			// could
-			// not be assigned to it.
+			// could not be assigned to it.
 			fail(AttemptFailure.MALFORMED, "the upstream sent an interim response with status " + status);
 			return;
 		}
