--- a/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/store/EarlierGenerations.java
+++ b/org.cyclamenstall/src/main/java/org/cyclamenstall/internal/store/EarlierGenerations.java
@@ -8,9 +8,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Decides what versions and leases of an earlier generation of a store are worth:
- * nothing, even if the store has given out the same numbers again. Clients ask before a
- * call, and again with the generation of its response. Stateless and thread-safe.
+ * Decides which versions and leases of a store may still be used: none of an earlier
+ * generation, even if the store has given out the same numbers again. Clients ask before
+ * a call, and again with the generation of its response. Stateless and thread-safe.
  */
 public final class EarlierGenerations {
 
